--- /dev/null
+++ b/api/place.go
@@ -0,0 +1,75 @@
+package api
+
+// InstanceID names one process of this system.
+type InstanceID string
+
+// WorkerID names a machine that runs tasks.
+type WorkerID string
+
+// Location says where an instance or a worker is.
+type Location struct {
+	Region     string `json:"region" cbor:"1,keyasint"`
+	DataCentre string `json:"dataCentre" cbor:"2,keyasint"`
+	// Rack is empty for an instance.
+	Rack string `json:"rack,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Instance describes a process of this system as others see it.
+type Instance struct {
+	ID       InstanceID `json:"id" cbor:"1,keyasint"`
+	Addr     string     `json:"addr" cbor:"2,keyasint"`
+	Location Location   `json:"location" cbor:"3,keyasint"`
+	// Leaving is set once the instance has begun a planned stop.
+	Leaving bool `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// Worker describes a machine and what it offers.
+type Worker struct {
+	ID       WorkerID  `json:"id" cbor:"1,keyasint"`
+	Addr     string    `json:"addr" cbor:"2,keyasint"`
+	Location Location  `json:"location" cbor:"3,keyasint"`
+	Capacity Resources `json:"capacity" cbor:"4,keyasint"`
+	// Slots is the number of requests the worker executes at one time.
+	Slots int `json:"slots" cbor:"5,keyasint"`
+	// Connections is the number of requests that may be open towards the worker, executing or queued.
+	Connections int  `json:"connections" cbor:"6,keyasint"`
+	Leaving     bool `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// Epoch is the fencing token of a unit. It grows by one with every change of owner.
+type Epoch uint64
+
+// UnitKind says what a unit is.
+type UnitKind string
+
+// The kinds of units.
+const (
+	UnitRack        UnitKind = "rack"
+	UnitShard       UnitKind = "shard"
+	UnitCoordinator UnitKind = "coordinator"
+)
+
+// Unit is something that has exactly one owner: a rack, a request shard or the coordinator duty.
+type Unit struct {
+	Kind UnitKind `json:"kind" cbor:"1,keyasint"`
+	// Scope is the data centre of a rack or the region of a shard, and empty for the coordinator.
+	Scope string `json:"scope,omitempty" cbor:"2,keyasint,omitempty"`
+	// Name is the rack's name or the shard's number.
+	Name string `json:"name,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// Coordinator is the unit of the coordinator duty.
+var Coordinator = Unit{Kind: UnitCoordinator}
+
+// RackUnit returns the unit of a rack.
+func RackUnit(dataCentre, rack string) Unit {
+	return Unit{Kind: UnitRack, Scope: dataCentre, Name: rack}
+}
+
+// Key returns the unit's key in the platform's table.
+func (u Unit) Key() string {
+	if u.Kind == UnitCoordinator {
+		return "unit/coordinator"
+	}
+	return "unit/" + string(u.Kind) + "/" + u.Scope + "/" + u.Name
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,187 @@
+// Package settings reads and checks the settings of the instance binary from flags and environment variables.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"bronzehook/fault"
+)
+
+// Settings holds every setting of an instance.
+type Settings struct {
+	Dev bool `long:"dev" env:"BRONZEHOOK_DEV" description:"run one instance with embedded stand-ins and a few workers on loopback; the other settings get defaults"`
+
+	ID         string `long:"id" env:"BRONZEHOOK_ID" description:"name of this instance, unique in the fleet"`
+	Region     string `long:"region" env:"BRONZEHOOK_REGION" description:"region of this instance"`
+	DataCentre string `long:"data-centre" env:"BRONZEHOOK_DATA_CENTRE" description:"data centre of this instance"`
+
+	CallerAddr   string `long:"caller-addr" env:"BRONZEHOOK_CALLER_ADDR" default:"127.0.0.1:8080" description:"IP address and port for callers (HTTP)"`
+	OperatorAddr string `long:"operator-addr" env:"BRONZEHOOK_OPERATOR_ADDR" default:"127.0.0.1:8081" description:"IP address and port for operators, metrics and readiness (HTTP)"`
+	PeerAddr     string `long:"peer-addr" env:"BRONZEHOOK_PEER_ADDR" default:"127.0.0.1:8082" description:"IP address and port for other instances (QUIC)"`
+
+	PlatformURL string `long:"platform-url" env:"BRONZEHOOK_PLATFORM_URL" description:"base URL of the platform's table, object store and directory"`
+
+	PeerCert string `long:"peer-cert" env:"BRONZEHOOK_PEER_CERT" description:"PEM file with the certificate chain shown to other instances"`
+	PeerKey  string `long:"peer-key" env:"BRONZEHOOK_PEER_KEY" description:"PEM file with the key of peer-cert"`
+	PeerCA   string `long:"peer-ca" env:"BRONZEHOOK_PEER_CA" description:"PEM file with the authorities that other instances' certificates must come from"`
+
+	CallerCert string `long:"caller-cert" env:"BRONZEHOOK_CALLER_CERT" description:"PEM file with the certificate chain shown to callers and operators; empty means plain HTTP"`
+	CallerKey  string `long:"caller-key" env:"BRONZEHOOK_CALLER_KEY" description:"PEM file with the key of caller-cert"`
+
+	OperatorToken string `long:"operator-token" env:"BRONZEHOOK_OPERATOR_TOKEN" description:"bearer token that operators have to send; empty accepts all, which only --dev allows"`
+
+	StopTimeout time.Duration `long:"stop-timeout" env:"BRONZEHOOK_STOP_TIMEOUT" default:"30s" description:"longest wait for requests in flight during a planned stop, 1s to 10m"`
+	Hold        time.Duration `long:"hold" env:"BRONZEHOOK_HOLD" default:"5s" description:"time that authority lasts after its last confirmation, 1s to 5m; the same on all instances"`
+	TaskLease   time.Duration `long:"task-lease" env:"BRONZEHOOK_TASK_LEASE" default:"30s" description:"lease of a task on a worker, 3s to 1h"`
+	LogLevel    string        `long:"log-level" env:"BRONZEHOOK_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+// InvalidError reports a setting that stops the start.
+type InvalidError struct {
+	Flag  string
+	Value string
+	// Accepted says in words what would be accepted.
+	Accepted string
+}
+
+// Error names the flag, its value and the accepted range.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("--%s: value %q is not accepted; accepted: %s", e.Flag, e.Value, e.Accepted)
+}
+
+// Code implements fault.Coded.
+func (e *InvalidError) Code() fault.Code { return fault.CodeInvalid }
+
+// HelpError is returned when help was asked for; its text is the help page.
+type HelpError struct{ Text string }
+
+// Error returns the help page.
+func (e *HelpError) Error() string { return e.Text }
+
+// Parse reads the settings from arguments and the environment and checks them.
+func Parse(args []string) (*Settings, error) {
+	s := &Settings{}
+	parser := flags.NewNamedParser("bronzehook", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", s); err != nil {
+		return nil, errors.Wrap(err, "declare settings")
+	}
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return nil, parseFailure(err)
+	}
+	if len(rest) > 0 {
+		return nil, errors.WithStack(&InvalidError{Flag: "", Value: rest[0], Accepted: "no arguments besides flags"})
+	}
+	if s.Dev {
+		s.applyDevDefaults()
+	}
+	return s, s.validate()
+}
+
+func parseFailure(err error) error {
+	var failure *flags.Error
+	if !errors.As(err, &failure) {
+		return errors.Wrap(err, "parse settings")
+	}
+	if failure.Type == flags.ErrHelp {
+		return &HelpError{Text: failure.Message}
+	}
+	return fault.New(fault.CodeInvalid, "parse settings", "%s", failure.Message)
+}
+
+func (s *Settings) applyDevDefaults() {
+	setDefault(&s.ID, "dev-1")
+	setDefault(&s.Region, "local")
+	setDefault(&s.DataCentre, "local-1")
+}
+
+func setDefault(field *string, value string) {
+	if *field == "" {
+		*field = value
+	}
+}
+
+func (s *Settings) validate() error {
+	checks := []error{
+		required("id", s.ID), required("region", s.Region), required("data-centre", s.DataCentre),
+		address("caller-addr", s.CallerAddr), address("operator-addr", s.OperatorAddr), address("peer-addr", s.PeerAddr),
+		duration("stop-timeout", s.StopTimeout, time.Second, 10*time.Minute),
+		duration("hold", s.Hold, time.Second, 5*time.Minute),
+		duration("task-lease", s.TaskLease, 3*time.Second, time.Hour),
+		level(s.LogLevel),
+		pair("caller-cert", s.CallerCert, "caller-key", s.CallerKey),
+		readable("caller-cert", s.CallerCert), readable("caller-key", s.CallerKey),
+	}
+	if !s.Dev {
+		checks = append(checks, required("platform-url", s.PlatformURL), required("operator-token", s.OperatorToken),
+			required("peer-cert", s.PeerCert), required("peer-key", s.PeerKey), required("peer-ca", s.PeerCA))
+	}
+	checks = append(checks, readable("peer-cert", s.PeerCert), readable("peer-key", s.PeerKey), readable("peer-ca", s.PeerCA))
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func invalid(flag, value, accepted string) error {
+	return errors.WithStackDepth(&InvalidError{Flag: flag, Value: value, Accepted: accepted}, 1)
+}
+
+func required(flag, value string) error {
+	if value == "" {
+		return invalid(flag, value, "a text that is not empty")
+	}
+	return nil
+}
+
+func address(flag, value string) error {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		return invalid(flag, value, "an IP address and a port, for example 127.0.0.1:8080")
+	}
+	return nil
+}
+
+func duration(flag string, value, low, high time.Duration) error {
+	if value < low || value > high {
+		return invalid(flag, value.String(), fmt.Sprintf("%s to %s", low, high))
+	}
+	return nil
+}
+
+func level(value string) error {
+	if _, err := zerolog.ParseLevel(value); err != nil || value == "" {
+		return invalid("log-level", value, "debug, info, warn or error")
+	}
+	return nil
+}
+
+func pair(flagA, valueA, flagB, valueB string) error {
+	if (valueA == "") == (valueB == "") {
+		return nil
+	}
+	if valueA == "" {
+		return invalid(flagA, valueA, "a PEM file, because --"+flagB+" is set")
+	}
+	return invalid(flagB, valueB, "a PEM file, because --"+flagA+" is set")
+}
+
+func readable(flag, path string) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return invalid(flag, path, "a readable PEM file")
+	}
+	return errors.Wrapf(file.Close(), "close %s", path)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestRefusedSettings(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		want InvalidError
+	}{
+		{"a missing name must stop the start", []string{"--platform-url=http://127.0.0.1:1"},
+			InvalidError{Flag: "id", Accepted: "a text that is not empty"}},
+		{"a host name must not pass as an IP address", []string{"--dev", "--peer-addr=localhost:1"},
+			InvalidError{Flag: "peer-addr", Value: "localhost:1", Accepted: "an IP address and a port, for example 127.0.0.1:8080"}},
+		{"a hold that never ends must not be accepted", []string{"--dev", "--hold=6m"},
+			InvalidError{Flag: "hold", Value: "6m0s", Accepted: "1s to 5m0s"}},
+		{"a key without its certificate must not start in plain HTTP", []string{"--dev", "--caller-key=missing.pem"},
+			InvalidError{Flag: "caller-cert", Accepted: "a PEM file, because --caller-key is set"}},
+		{"operators must authenticate outside dev mode",
+			[]string{"--id=a", "--region=r", "--data-centre=d", "--platform-url=http://127.0.0.1:1"},
+			InvalidError{Flag: "operator-token", Accepted: "a text that is not empty"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := Parse(tc.args)
+			var got *InvalidError
+			if !errors.As(err, &got) {
+				t.Fatalf("Parse: %v, want an InvalidError", err)
+			}
+			if diff := cmp.Diff(tc.want, *got); diff != "" {
+				t.Errorf("error (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a setting that can be given as a flag but not in the environment.
+func TestEnvironment(t *testing.T) {
+	t.Setenv("BRONZEHOOK_DEV", "true")
+	t.Setenv("BRONZEHOOK_ID", "from-environment")
+	s, err := Parse(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ID != "from-environment" {
+		t.Errorf("id = %q", s.ID)
+	}
+}
