Stop renewing leases on unreachable workers; add coordinator

Cause: TestUnreachableWorkerKeepsItsAttemptsUntilTheLeaseIsOver failed: the attempts of an unreachable worker were not reported as ended 9.2 s after their lease, because each unanswered renewal moved the assumed lease end.

Ruled out: counting only answered renewals, because a renewal whose reply is lost does extend the lease on the worker.

Change: renewals stop with the first failed inventory and resume with the next good one. Package coordinator: durable task records written under the unit row's version, orders, reports and questions about silent attempts.

Conclusion: a task of an unreachable worker moves one lease and a margin after the last renewal, at the earliest.

--- a/api/work.go
+++ b/api/work.go
@@ -115,6 +115,8 @@
 	Due      time.Time `json:"due,omitzero" cbor:"12,keyasint,omitzero"`
 	// Reason says why the task waits, failed or was canceled.
 	Reason string `json:"reason,omitempty" cbor:"13,keyasint,omitempty"`
+	// Unit is the rack of Worker. It is kept because the directory may no longer list the worker.
+	Unit Unit `json:"unit,omitzero" cbor:"14,keyasint,omitzero"`
 }
 
 // Endpoint is one running task of a service that answers requests.
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,243 @@
+// Package coordinator holds the duty of the instance that owns the coordinator unit: it keeps the durable record of
+// every task, decides which attempt runs where, and hands orders to the owners of the racks.
+//
+// Every act of the coordinator is a table transaction that requires its unit row to be unchanged, so a coordinator that
+// was replaced while it was paused or cut off cannot change anything. All state is owned by the control goroutine.
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"bronzehook/api"
+	"bronzehook/logging"
+	"bronzehook/platform"
+	"bronzehook/runner"
+)
+
+// Intervals and bounds.
+const (
+	// CycleInterval is the time between two scheduling cycles. At the design size, 150 starts a second are 30 a cycle.
+	CycleInterval = 200 * time.Millisecond
+	// maxBatch is the number of tasks in one transaction.
+	maxBatch = 50
+	// seenTimeout is how long a recorded assignment may go without a report before its owner is asked about it.
+	seenTimeout = 4 * time.Second
+	// orderTimeout bounds one message to the owner of racks.
+	orderTimeout = 2 * time.Second
+	// commitTimeout bounds one try of a transaction.
+	commitTimeout = 3 * time.Second
+	// retryDelay is the wait before a transaction with an unknown result is tried again under the same operation id.
+	retryDelay = 500 * time.Millisecond
+	// MaxFailures is the number of failed attempts after which a task is given up.
+	MaxFailures = 10
+)
+
+// Claim is what the coordinator needs to know of a unit's owner.
+type Claim struct {
+	Owner api.InstanceID
+	Epoch api.Epoch
+}
+
+// Cluster tells the coordinator about units and configuration.
+type Cluster interface {
+	// Claim returns the owner of a unit; ok is false if nobody owns it.
+	Claim(unit api.Unit) (claim Claim, ok bool)
+	// Check returns the epoch of a unit that this instance owns and may act for.
+	Check(unit api.Unit) (api.Epoch, error)
+	// Work returns the configuration in force; nil before the first one.
+	Work() *api.WorkSet
+	// Workers returns the workers that the directory lists, and those that operators drain.
+	Workers() (workers []api.Worker, drained map[api.WorkerID]bool)
+}
+
+// Sender delivers orders to the owner of racks.
+type Sender interface {
+	SendOrders(ctx context.Context, to api.InstanceID, orders runner.Orders) ([]runner.AttemptReport, error)
+}
+
+// Event is a change that the audit trail and the metrics learn of.
+type Event struct {
+	Action  string       `cbor:"1,keyasint"`
+	Task    api.TaskID   `cbor:"2,keyasint"`
+	Attempt uint64       `cbor:"3,keyasint"`
+	Worker  api.WorkerID `cbor:"4,keyasint"`
+	Reason  string       `cbor:"5,keyasint"`
+}
+
+// Options configures a Coordinator.
+type Options struct {
+	Self    api.InstanceID
+	Clock   clockwork.Clock
+	Loop    runner.Loop
+	Table   platform.Table
+	Cluster Cluster
+	Sender  Sender
+	Logger  zerolog.Logger
+	// Lease is how long an attempt may run without a renewal.
+	Lease time.Duration
+	// NewOpID returns a fresh operation id.
+	NewOpID func() string
+	// Audit is called on the control goroutine for every change; it must not block.
+	Audit func(Event)
+	// Decider makes the decisions of a cycle.
+	Decider Decider
+}
+
+// Coordinator holds the coordinator duty while this instance owns the unit.
+type Coordinator struct {
+	options Options
+	log     zerolog.Logger
+	// term is nil while the duty is not held.
+	term *term
+}
+
+// term is the state of one period of holding the duty. Results of calls made in an earlier term are dropped.
+type term struct {
+	epoch api.Epoch
+	// unitVersion is the version of the unit row that every transaction requires.
+	unitVersion uint64
+	loaded      bool
+	committing  bool
+	tasks       map[api.TaskID]*task
+	// revision is the configuration revision that the tasks were last reconciled with.
+	revision uint64
+	workers  map[api.WorkerID]runner.WorkerReport
+	// outbox holds orders that wait for the next send, by instance.
+	outbox  map[api.InstanceID]*runner.Orders
+	sending map[api.InstanceID]bool
+	// reasons holds why a pending task was not placed in the last cycle.
+	reasons map[api.TaskID]string
+}
+
+// task is the coordinator's state of one task.
+type task struct {
+	row     api.Task
+	version uint64
+	// next is the row that is to be written; nil if there is nothing to write.
+	next *api.Task
+	// deleting is set if the row is to be deleted.
+	deleting bool
+	// inFlight is set while a transaction that contains the task is under way.
+	inFlight bool
+	// seen is the last report about the current attempt; its Attempt is 0 if there was none.
+	seen       runner.AttemptReport
+	seenAt     time.Time
+	assignedAt time.Time
+	startedAt  time.Time
+	// orphanedSince is when the rack of the attempt was first found without an owner; zero while it has one.
+	orphanedSince time.Time
+	// stopping is set once the attempt was told to stop.
+	stopping bool
+	throttle float64
+}
+
+// New returns a coordinator without the duty.
+func New(options Options) *Coordinator {
+	return &Coordinator{options: options, log: options.Logger.With().Str("service", "coordinator").Logger()}
+}
+
+// Name implements kernel.Service.
+func (c *Coordinator) Name() string { return "coordinator" }
+
+// Requires implements kernel.Service.
+func (c *Coordinator) Requires() []string { return []string{"control"} }
+
+// Start begins the scheduling cycles; they do nothing while the duty is not held.
+func (c *Coordinator) Start(context.Context) error {
+	c.options.Loop.Every(CycleInterval, c.cycle)
+	return nil
+}
+
+// Stop implements kernel.Service; the cycles end with the control goroutine.
+func (c *Coordinator) Stop(context.Context) error { return nil }
+
+// Claimed begins a term. It is called on the control goroutine.
+func (c *Coordinator) Claimed(epoch api.Epoch) {
+	t := &term{
+		epoch: epoch, tasks: map[api.TaskID]*task{}, workers: map[api.WorkerID]runner.WorkerReport{},
+		outbox: map[api.InstanceID]*runner.Orders{}, sending: map[api.InstanceID]bool{}, reasons: map[api.TaskID]string{},
+	}
+	c.term = t
+	c.log.Info().Uint64(logging.KeyEpoch, uint64(epoch)).Msg("coordinator duty claimed")
+	c.load(t)
+}
+
+// Lost ends the term. It is called on the control goroutine.
+func (c *Coordinator) Lost() {
+	if c.term != nil {
+		c.log.Info().Uint64(logging.KeyEpoch, uint64(c.term.epoch)).Msg("coordinator duty lost")
+	}
+	c.term = nil
+}
+
+// Active reports whether the duty is held and its state is loaded.
+func (c *Coordinator) Active() bool { return c.term != nil && c.term.loaded }
+
+// load reads the unit row and all tasks, and tries again until it has both or the term has ended.
+func (c *Coordinator) load(t *term) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+		defer cancel()
+		unit, err := c.options.Table.Get(ctx, api.Coordinator.Key())
+		var rows []platform.Row
+		if err == nil {
+			rows, err = c.options.Table.List(ctx, taskPrefix)
+		}
+		if err != nil {
+			c.log.Warn().Err(err).Msg("task records not loaded, trying again")
+			c.options.Clock.Sleep(retryDelay)
+		}
+		c.options.Loop.Post(func() {
+			if c.term != t {
+				return
+			}
+			if err != nil {
+				c.load(t)
+				return
+			}
+			c.loadRows(t, unit, rows)
+		})
+	}()
+}
+
+func (c *Coordinator) loadRows(t *term, unit platform.Row, rows []platform.Row) {
+	now := c.options.Clock.Now()
+	for _, row := range rows {
+		record, err := decodeTask(row.Value)
+		if err != nil {
+			c.log.Error().Str("key", row.Key).Err(err).Msg("task record not readable")
+			continue
+		}
+		t.tasks[record.ID] = &task{row: record, version: row.Version, assignedAt: now, seenAt: now, throttle: 1}
+	}
+	t.unitVersion = unit.Version
+	t.loaded = true
+	c.log.Info().Int("tasks", len(t.tasks)).Uint64(logging.KeyEpoch, uint64(t.epoch)).Msg("task records loaded")
+}
+
+// cycle brings tasks in line with the configuration, asks about silent attempts, decides, writes and sends.
+func (c *Coordinator) cycle() {
+	t := c.term
+	if t == nil || !t.loaded {
+		return
+	}
+	if _, err := c.options.Cluster.Check(api.Coordinator); err != nil {
+		return
+	}
+	work := c.options.Cluster.Work()
+	if work == nil {
+		return
+	}
+	if work.Revision != t.revision {
+		c.reconcile(t, work)
+		t.revision = work.Revision
+	}
+	c.askAboutSilent(t)
+	c.decide(t, work)
+	c.commit(t)
+	c.send(t)
+}
--- /dev/null
+++ b/coordinator/decide.go
@@ -0,0 +1,175 @@
+package coordinator
+
+import (
+	"time"
+
+	"bronzehook/api"
+	"bronzehook/runner"
+)
+
+// WorkerView is a worker as a decision sees it.
+type WorkerView struct {
+	api.Worker
+	Unit  api.Unit
+	Epoch api.Epoch
+	// Usable is set if the worker's rack has an owner that reaches the worker, and no operator drains it.
+	Usable bool
+}
+
+// TaskView is a task as a decision sees it.
+type TaskView struct {
+	api.Task
+	Kind    api.Kind
+	Seen    api.SeenState
+	Started time.Time
+	// Progress is the part of the work that is done, from 0 to 1.
+	Progress float64
+	// Throttle is the share of its processors that the task keeps.
+	Throttle float64
+	// Busy is set while a change of the task is under way, so that no decision may touch it.
+	Busy bool
+}
+
+// View is what a decision sees. It is not changed after it was handed out.
+type View struct {
+	Now     time.Time
+	Work    *api.WorkSet
+	Workers []WorkerView
+	Tasks   []TaskView
+}
+
+// Placement assigns a pending task to a worker.
+type Placement struct {
+	Task   api.TaskID
+	Worker api.WorkerID
+}
+
+// Reclaim acts on a running task.
+type Reclaim struct {
+	Task   api.TaskID
+	Action runner.Action
+	Share  float64
+	Reason string
+}
+
+// Decision is what a cycle wants done.
+type Decision struct {
+	Placements []Placement
+	Reclaims   []Reclaim
+	// Reasons says for each task that was not placed why.
+	Reasons map[api.TaskID]string
+	// Impossible names tasks that can never run, with the reason.
+	Impossible map[api.TaskID]string
+}
+
+// Decider makes the decisions. Its methods are called on the control goroutine.
+type Decider interface {
+	Decide(view View) Decision
+	// Observe takes usage reports, which lag.
+	Observe(usage []runner.UsageReport)
+	// Ended takes the end of an attempt, for what is learned about workers, sizes and run times.
+	Ended(task api.Task, report runner.AttemptReport)
+}
+
+func (c *Coordinator) decide(t *term, work *api.WorkSet) {
+	view := c.view(t, work)
+	decision := c.options.Decider.Decide(view)
+	workers := map[api.WorkerID]WorkerView{}
+	for _, w := range view.Workers {
+		workers[w.ID] = w
+	}
+	for _, placement := range decision.Placements {
+		c.place(t, placement, workers[placement.Worker])
+	}
+	for _, reclaim := range decision.Reclaims {
+		c.reclaim(t, reclaim)
+	}
+	for id, reason := range decision.Impossible {
+		c.giveUp(t, id, reason)
+	}
+	t.reasons = decision.Reasons
+}
+
+func (c *Coordinator) view(t *term, work *api.WorkSet) View {
+	view := View{Now: c.options.Clock.Now(), Work: work}
+	workers, drained := c.options.Cluster.Workers()
+	for _, w := range workers {
+		unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
+		claim, owned := c.options.Cluster.Claim(unit)
+		report, reported := t.workers[w.ID]
+		usable := owned && reported && report.Reachable && !report.Leaving && !w.Leaving && !drained[w.ID]
+		view.Workers = append(view.Workers, WorkerView{Worker: w, Unit: unit, Epoch: claim.Epoch, Usable: usable})
+	}
+	for _, known := range t.tasks {
+		view.Tasks = append(view.Tasks, TaskView{
+			Task: known.latest(), Kind: work.Specs[known.row.Work].Kind, Seen: known.seen.State, Started: known.startedAt,
+			Progress: known.seen.Progress, Throttle: known.throttle, Busy: !known.idle() || known.stopping,
+		})
+	}
+	return view
+}
+
+func (c *Coordinator) place(t *term, placement Placement, w WorkerView) {
+	known := t.tasks[placement.Task]
+	if known == nil || !known.idle() || known.row.Wanted != api.WantedPending || !w.Usable {
+		return
+	}
+	row := known.row
+	row.Wanted = api.WantedAssigned
+	row.Attempt++
+	row.Worker = w.ID
+	row.Unit = w.Unit
+	row.Epoch = w.Epoch
+	row.Reason = ""
+	known.write(row)
+}
+
+func (c *Coordinator) reclaim(t *term, reclaim Reclaim) {
+	known := t.tasks[reclaim.Task]
+	if known == nil || !known.idle() || !known.running() || known.stopping {
+		return
+	}
+	if reclaim.Action == runner.ActionThrottle {
+		known.throttle = reclaim.Share
+	}
+	c.interveneOn(t, known, reclaim.Action, reclaim.Share, reclaim.Reason)
+}
+
+// giveUp records that a task can never run.
+func (c *Coordinator) giveUp(t *term, id api.TaskID, reason string) {
+	known := t.tasks[id]
+	if known == nil || !known.idle() || known.row.Wanted != api.WantedPending {
+		return
+	}
+	row := known.row
+	row.Wanted = api.WantedFailed
+	row.Reason = reason
+	known.write(row)
+	c.note("task-impossible", row, reason)
+}
+
+// Explanation says where a task stands and why.
+type Explanation struct {
+	Task   api.Task      `json:"task"`
+	Seen   api.SeenState `json:"seen,omitempty"`
+	Reason string        `json:"reason,omitempty"`
+}
+
+// Explain returns where the tasks of a piece of work stand; ok is false if the duty is not held here. It is called on
+// the control goroutine.
+func (c *Coordinator) Explain(work string) (explanations []Explanation, ok bool) {
+	if !c.Active() {
+		return nil, false
+	}
+	for id, known := range c.term.tasks {
+		if known.row.Work != work {
+			continue
+		}
+		reason := c.term.reasons[id]
+		if reason == "" {
+			reason = known.row.Reason
+		}
+		explanations = append(explanations, Explanation{Task: known.latest(), Seen: known.seen.State, Reason: reason})
+	}
+	return explanations, true
+}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -208,9 +208,10 @@
 }
 
 // renew extends the leases of a worker's attempts. An instance without authority renews nothing, so that the leases run
-// out before another owner gives the tasks out again.
+// out before another owner gives the tasks out again. Neither does one that cannot reach the worker: a renewal whose
+// reply is missing may have extended the lease, so the attempts of an unreachable worker would never end.
 func (r *Runner) renew(owned *rack, w *worker) {
-	if !w.fenced {
+	if !w.fenced || !w.unreachableSince.IsZero() {
 		return
 	}
 	var refs []platform.TaskRef
