Verify the unit row before loading tasks; test the coordinator

Cause: two mutations survived the first tests: without the condition on the unit row a replaced coordinator still wrote, and after a refused transaction it read the row's new version and took it for its own.

Ruled out: relying on the ownership view alone, because a paused instance's view is stale exactly when it matters.

Change: Cluster.UnitVersion reads the row and fails unless it names this instance under its epoch; the tests compare the whole record.

Before/after (mutation, test that is red with it): no unit condition, TestReplacedCoordinatorOrdersNothing; fresh operation id on retry, TestLostCommitReplyDoesNotStartTwice; attempt not compared, TestEvictedTaskResumesOnceFromItsCheckpoint; no wait for an orphan's lease, TestOrphanedAttemptWaitsForItsLease; acknowledged early, TestResultIsAcknowledgedOnlyOnceRecorded.

Conclusion: start, eviction and completion of a task are fenced by the table and by the attempt number.

--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -82,7 +82,7 @@
 		defer cancel()
 		result, err := c.options.Table.Commit(ctx, b.txn)
 		if err != nil && !fault.Is(err, fault.CodeConflict) {
-			c.options.Clock.Sleep(retryDelay)
+			c.pause()
 		}
 		c.options.Loop.Post(func() {
 			if c.term != t {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -52,6 +52,9 @@
 	Work() *api.WorkSet
 	// Workers returns the workers that the directory lists, and those that operators drain.
 	Workers() (workers []api.Worker, drained map[api.WorkerID]bool)
+	// UnitVersion reads the unit's row and returns its version. It fails with CodeNotOwner if the row does not name this
+	// instance under the epoch.
+	UnitVersion(ctx context.Context, unit api.Unit, epoch api.Epoch) (uint64, error)
 }
 
 // Sender delivers orders to the owner of racks.
@@ -91,6 +94,8 @@
 type Coordinator struct {
 	options Options
 	log     zerolog.Logger
+	// stopped is closed by Stop; it ends waits between tries.
+	stopped chan struct{}
 	// term is nil while the duty is not held.
 	term *term
 }
@@ -137,7 +142,9 @@
 
 // New returns a coordinator without the duty.
 func New(options Options) *Coordinator {
-	return &Coordinator{options: options, log: options.Logger.With().Str("service", "coordinator").Logger()}
+	return &Coordinator{
+		options: options, log: options.Logger.With().Str("service", "coordinator").Logger(), stopped: make(chan struct{}),
+	}
 }
 
 // Name implements kernel.Service.
@@ -152,8 +159,19 @@
 	return nil
 }
 
-// Stop implements kernel.Service; the cycles end with the control goroutine.
-func (c *Coordinator) Stop(context.Context) error { return nil }
+// Stop ends waits between tries; the cycles end with the control goroutine.
+func (c *Coordinator) Stop(context.Context) error {
+	close(c.stopped)
+	return nil
+}
+
+// pause waits before another try of a failed call.
+func (c *Coordinator) pause() {
+	select {
+	case <-c.stopped:
+	case <-c.options.Clock.After(retryDelay):
+	}
+}
 
 // Claimed begins a term. It is called on the control goroutine.
 func (c *Coordinator) Claimed(epoch api.Epoch) {
@@ -177,19 +195,20 @@
 // Active reports whether the duty is held and its state is loaded.
 func (c *Coordinator) Active() bool { return c.term != nil && c.term.loaded }
 
-// load reads the unit row and all tasks, and tries again until it has both or the term has ended.
+// load reads the unit row and all tasks, and tries again until it has both or the term has ended. A coordinator that was
+// replaced without knowing it finds another owner in the row and never gets past here.
 func (c *Coordinator) load(t *term) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 		defer cancel()
-		unit, err := c.options.Table.Get(ctx, api.Coordinator.Key())
+		version, err := c.options.Cluster.UnitVersion(ctx, api.Coordinator, t.epoch)
 		var rows []platform.Row
 		if err == nil {
 			rows, err = c.options.Table.List(ctx, taskPrefix)
 		}
 		if err != nil {
 			c.log.Warn().Err(err).Msg("task records not loaded, trying again")
-			c.options.Clock.Sleep(retryDelay)
+			c.pause()
 		}
 		c.options.Loop.Post(func() {
 			if c.term != t {
@@ -199,12 +218,12 @@
 				c.load(t)
 				return
 			}
-			c.loadRows(t, unit, rows)
+			c.loadRows(t, version, rows)
 		})
 	}()
 }
 
-func (c *Coordinator) loadRows(t *term, unit platform.Row, rows []platform.Row) {
+func (c *Coordinator) loadRows(t *term, unitVersion uint64, rows []platform.Row) {
 	now := c.options.Clock.Now()
 	for _, row := range rows {
 		record, err := decodeTask(row.Value)
@@ -214,7 +233,7 @@
 		}
 		t.tasks[record.ID] = &task{row: record, version: row.Version, assignedAt: now, seenAt: now, throttle: 1}
 	}
-	t.unitVersion = unit.Version
+	t.unitVersion = unitVersion
 	t.loaded = true
 	c.log.Info().Int("tasks", len(t.tasks)).Uint64(logging.KeyEpoch, uint64(t.epoch)).Msg("task records loaded")
 }
--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,183 @@
+package coordinator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/api"
+	"bronzehook/platform"
+	"bronzehook/runner"
+)
+
+const testTask = api.TaskID("plan.0")
+
+func stopped(attempt uint64, evicted bool, checkpoint string) runner.AttemptReport {
+	return runner.AttemptReport{
+		Ref: runner.Ref{Task: testTask, Attempt: attempt}, Worker: "w1", State: api.SeenStopped, Evicted: evicted,
+		Checkpoint: checkpoint,
+	}
+}
+
+func succeeded(attempt uint64) runner.AttemptReport {
+	return runner.AttemptReport{Ref: runner.Ref{Task: testTask, Attempt: attempt}, Worker: "w1", State: api.SeenSucceeded}
+}
+
+// Guards against a start that no record knows of: after a coordinator's death it could be given out twice.
+func TestAttemptIsRecordedBeforeItIsOrdered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.mu.Lock()
+		h.ordered = func(a runner.Assignment) {
+			record, _ := h.table.task(t, a.Task)
+			if record.Attempt != a.Attempt || record.Wanted != api.WantedAssigned {
+				t.Errorf("attempt %d was ordered, the record is %+v", a.Attempt, record)
+			}
+		}
+		h.mu.Unlock()
+		h.report(t, false, stopped(1, true, "c1"))
+		time.Sleep(time.Second)
+		want := []runner.Ref{{Task: testTask, Attempt: 1}, {Task: testTask, Attempt: 2}}
+		if diff := cmp.Diff(want, h.assignments()); diff != "" {
+			t.Errorf("assignments (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a lost reply of the table being taken for a failed write, which would give a task out twice.
+func TestLostCommitReplyDoesNotStartTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.table.change(func() { h.table.loseReplies = 2 })
+		h.report(t, false, stopped(1, true, "c1"))
+		time.Sleep(5 * time.Second)
+		want := []runner.Ref{{Task: testTask, Attempt: 1}, {Task: testTask, Attempt: 2}}
+		if diff := cmp.Diff(want, h.assignments()); diff != "" {
+			t.Errorf("assignments (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a paused coordinator that gives out tasks after another instance took over its duty.
+func TestReplacedCoordinatorOrdersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		before, _ := h.table.task(t, testTask)
+		h.table.change(func() {
+			row := platform.Row{Key: api.Coordinator.Key(), Value: []byte("another owner"), Version: 2}
+			h.table.rows[row.Key] = row
+		})
+		h.report(t, false, stopped(1, true, "c1"))
+		time.Sleep(10 * time.Second)
+		if got := len(h.assignments()); got != 1 {
+			t.Errorf("%d assignments, want only the one before the duty was lost", got)
+		}
+		after, _ := h.table.task(t, testTask)
+		if diff := cmp.Diff(before, after); diff != "" {
+			t.Errorf("record changed after the duty was lost (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against evicted work that is lost, or resumed twice because its report was repeated or came late.
+func TestEvictedTaskResumesOnceFromItsCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		for range 3 {
+			h.report(t, false, stopped(1, true, "c1"))
+		}
+		time.Sleep(time.Second)
+		h.report(t, false, stopped(1, true, "c1"))
+		time.Sleep(time.Second)
+		record, _ := h.table.task(t, testTask)
+		if record.Attempt != 2 || record.Evictions != 1 || record.Checkpoint != "c1" || record.Wanted != api.WantedAssigned {
+			t.Errorf("record = %+v, want attempt 2 from c1 after one eviction", record)
+		}
+		want := []runner.Ref{{Task: testTask, Attempt: 1}, {Task: testTask, Attempt: 2}}
+		if diff := cmp.Diff(want, h.assignments()); diff != "" {
+			t.Errorf("assignments (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a worker that forgets a result which the table does not hold yet.
+func TestResultIsAcknowledgedOnlyOnceRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.table.change(func() { h.table.down = true })
+		for range 5 {
+			if reply := h.report(t, false, succeeded(1)); len(reply.Recorded) != 0 {
+				t.Fatalf("acknowledged %v while the store is down", reply.Recorded)
+			}
+			time.Sleep(time.Second)
+		}
+		h.table.change(func() { h.table.down = false })
+		time.Sleep(5 * time.Second)
+		if reply := h.report(t, false, succeeded(1)); len(reply.Recorded) != 1 {
+			t.Error("not acknowledged after the store came back")
+		}
+		if record, _ := h.table.task(t, testTask); record.Wanted != api.WantedDone {
+			t.Errorf("record = %+v, want done", record)
+		}
+		if got := len(h.assignments()); got != 1 {
+			t.Errorf("%d assignments of a finished task", got)
+		}
+	})
+}
+
+// Guards against a task that is given out again while a rack without an owner may still run it, and against one that
+// waits for ever.
+func TestOrphanedAttemptWaitsForItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setOwned(false)
+		time.Sleep(testLease)
+		h.setOwned(true)
+		time.Sleep(time.Second)
+		if got := len(h.assignments()); got != 1 {
+			t.Fatalf("%d assignments within the lease, want 1", got)
+		}
+		h.setOwned(false)
+		time.Sleep(testLease + runner.OrderValidity + 3*runner.LeaseMargin)
+		h.setOwned(true)
+		time.Sleep(time.Second)
+		if got := len(h.assignments()); got != 2 {
+			t.Errorf("%d assignments after the lease, want 2", got)
+		}
+	})
+}
+
+// Guards against an assignment whose order was lost on the way and that nobody asks about.
+func TestSilentAttemptIsAskedAbout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		time.Sleep(2 * seenTimeout)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if len(h.queries) == 0 {
+			t.Error("no question about an attempt that nobody reported")
+		}
+	})
+}
+
+// Guards against a wave of cancellations that stops other work or leaves records behind.
+func TestRemovedWorkIsCanceledAndForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setReplicas(0)
+		time.Sleep(time.Second)
+		if _, ok := h.table.task(t, testTask); !ok {
+			t.Fatal("the record is gone while the attempt may run")
+		}
+		h.report(t, false, stopped(1, true, ""))
+		time.Sleep(2 * time.Second)
+		if record, ok := h.table.task(t, testTask); ok {
+			t.Errorf("record %+v is left after the work was removed", record)
+		}
+		if got := len(h.assignments()); got != 1 {
+			t.Errorf("%d assignments, want 1", got)
+		}
+	})
+}
--- /dev/null
+++ b/coordinator/fake_test.go
@@ -0,0 +1,287 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"bronzehook/api"
+	"bronzehook/control"
+	"bronzehook/fault"
+	"bronzehook/platform"
+	"bronzehook/runner"
+)
+
+// fakeTable is a transactional table in memory whose replies can be lost and which can be down.
+type fakeTable struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	results map[string]platform.CommitResult
+	down    bool
+	// loseReplies is the number of commits that take effect without a reply.
+	loseReplies int
+}
+
+func newFakeTable() *fakeTable {
+	return &fakeTable{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+}
+
+var errStoreDown = fault.New(fault.CodeStoreUnavailable, "fake table", "down")
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, errStoreDown
+	}
+	return f.rows[key], nil
+}
+
+func (f *fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errStoreDown
+	}
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
+}
+
+func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.CommitResult{}, errStoreDown
+	}
+	if result, repeated := f.results[txn.OpID]; repeated {
+		return result, nil
+	}
+	for _, condition := range txn.Conditions {
+		if f.rows[condition.Key].Version != condition.Version {
+			return platform.CommitResult{}, fault.New(fault.CodeConflict, "fake table", "%s", condition.Key)
+		}
+	}
+	result := platform.CommitResult{Versions: map[string]uint64{}}
+	for _, write := range txn.Writes {
+		if write.Delete {
+			delete(f.rows, write.Key)
+			continue
+		}
+		version := f.rows[write.Key].Version + 1
+		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: version, OpID: txn.OpID}
+		result.Versions[write.Key] = version
+	}
+	f.results[txn.OpID] = result
+	if f.loseReplies > 0 {
+		f.loseReplies--
+		return platform.CommitResult{}, errStoreDown
+	}
+	return result, nil
+}
+
+func (f *fakeTable) change(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// task returns the record of a task; ok is false if there is none.
+func (f *fakeTable) task(t *testing.T, id api.TaskID) (record api.Task, ok bool) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[taskKey(id)]
+	if !ok {
+		return api.Task{}, false
+	}
+	record, err := decodeTask(row.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record, true
+}
+
+// harness runs a Coordinator over a fake table; it stands for the cluster and for the owner of the only rack.
+type harness struct {
+	*Coordinator
+	loop  *control.Loop
+	table *fakeTable
+
+	mu      sync.Mutex
+	work    *api.WorkSet
+	owned   bool
+	orders  []runner.Assignment
+	queries []runner.Query
+	ops     int
+	// ordered is called for each assignment, before the reply.
+	ordered func(runner.Assignment)
+}
+
+var (
+	testWorker = api.Worker{ID: "w1", Location: api.Location{Region: "cornwall", DataCentre: "montego", Rack: "r1"}}
+	testRack   = api.RackUnit("montego", "r1")
+)
+
+const testLease = 30 * time.Second
+
+func newHarness(t *testing.T) *harness {
+	clock := clockwork.NewRealClock()
+	h := &harness{loop: control.NewLoop(clock), table: newFakeTable(), owned: true}
+	h.table.rows[api.Coordinator.Key()] = platform.Row{Key: api.Coordinator.Key(), Version: 1}
+	h.setReplicas(1)
+	if err := h.loop.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	h.Coordinator = New(Options{
+		Self: "i1", Clock: clock, Loop: h.loop, Table: h.table, Cluster: h, Sender: h, Logger: zerolog.Nop(),
+		Lease: testLease, NewOpID: h.newOpID, Audit: func(Event) {}, Decider: placeAll{},
+	})
+	if err := h.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := h.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := h.loop.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	h.begin(t)
+	return h
+}
+
+// begin starts a term and lets the worker be reported as reachable.
+func (h *harness) begin(t *testing.T) {
+	t.Helper()
+	h.do(t, func() { h.Claimed(1) })
+	time.Sleep(100 * time.Millisecond)
+	h.report(t, true)
+	time.Sleep(time.Second)
+}
+
+func (h *harness) newOpID() string {
+	h.ops++
+	return fmt.Sprintf("op-%p-%d", h, h.ops)
+}
+
+func (h *harness) setReplicas(count int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	revision := uint64(1)
+	if h.work != nil {
+		revision = h.work.Revision + 1
+	}
+	h.work = &api.WorkSet{Revision: revision, Specs: map[string]api.Spec{}}
+	if count > 0 {
+		h.work.Specs["plan"] = api.Spec{Name: "plan", Kind: api.KindJob, Replicas: count}
+	}
+}
+
+func (h *harness) setOwned(owned bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.owned = owned
+}
+
+func (h *harness) Claim(api.Unit) (Claim, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Claim{Owner: "i2", Epoch: 5}, h.owned
+}
+
+func (h *harness) Check(api.Unit) (api.Epoch, error) { return 1, nil }
+
+func (h *harness) Work() *api.WorkSet {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.work
+}
+
+func (h *harness) Workers() ([]api.Worker, map[api.WorkerID]bool) {
+	return []api.Worker{testWorker}, nil
+}
+
+// UnitVersion takes a row with a value as one that names another owner.
+func (h *harness) UnitVersion(ctx context.Context, unit api.Unit, _ api.Epoch) (uint64, error) {
+	row, err := h.table.Get(ctx, unit.Key())
+	if err == nil && len(row.Value) > 0 {
+		err = fault.New(fault.CodeNotOwner, "fake cluster", "%s", unit.Key())
+	}
+	return row.Version, err
+}
+
+func (h *harness) SendOrders(_ context.Context, _ api.InstanceID, orders runner.Orders) ([]runner.AttemptReport, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, assignment := range orders.Assignments {
+		if h.ordered != nil {
+			h.ordered(assignment)
+		}
+	}
+	h.orders = append(h.orders, orders.Assignments...)
+	h.queries = append(h.queries, orders.Queries...)
+	return nil, nil
+}
+
+func (h *harness) assignments() []runner.Ref {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var refs []runner.Ref
+	for _, order := range h.orders {
+		refs = append(refs, order.Ref)
+	}
+	return refs
+}
+
+func (h *harness) do(t *testing.T, f func()) {
+	t.Helper()
+	if err := h.loop.Do(t.Context(), f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// report delivers a report of the rack's owner and returns the reply.
+func (h *harness) report(t *testing.T, full bool, attempts ...runner.AttemptReport) runner.ReportReply {
+	t.Helper()
+	report := runner.Report{
+		From: "i2", Unit: testRack, Epoch: 5, Full: full, Attempts: attempts,
+		Workers: []runner.WorkerReport{{Worker: "w1", Reachable: true}},
+	}
+	var reply runner.ReportReply
+	h.do(t, func() { reply, _ = h.HandleReport(report) })
+	return reply
+}
+
+// placeAll places every pending task on the first usable worker.
+type placeAll struct{}
+
+func (placeAll) Decide(view View) Decision {
+	decision := Decision{Reasons: map[api.TaskID]string{}}
+	for _, task := range view.Tasks {
+		if task.Wanted != api.WantedPending || task.Busy {
+			continue
+		}
+		for _, worker := range view.Workers {
+			if worker.Usable {
+				decision.Placements = append(decision.Placements, Placement{Task: task.ID, Worker: worker.ID})
+				break
+			}
+		}
+	}
+	return decision
+}
+
+func (placeAll) Observe([]runner.UsageReport)         {}
+func (placeAll) Ended(api.Task, runner.AttemptReport) {}
