--- /dev/null
+++ b/scheduler/queue/queue_test.go
@@ -0,0 +1,233 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/api"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func item(name string, kind api.Kind, urgency api.Urgency, due, runTime time.Duration) Item {
+	spec := &api.Spec{Name: name, Kind: kind, Urgency: urgency, Team: "team-" + name}
+	task := api.Task{ID: api.TaskID(name), Work: name, Recorded: start}
+	if due > 0 {
+		task.Due = start.Add(due)
+	}
+	return Item{Task: task, Spec: spec, RunTime: runTime, Size: api.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+}
+
+func job(name string, urgency api.Urgency, due, runTime time.Duration) Item {
+	return item(name, api.KindJob, urgency, due, runTime)
+}
+
+func names(items []Item) []string {
+	var list []string
+	for _, it := range items {
+		list = append(list, string(it.Task.ID))
+	}
+	return list
+}
+
+func TestReadyOrder(t *testing.T) {
+	withoutSlack := DefaultOptions()
+	withoutSlack.BySlack = false
+	withoutUrgency := withoutSlack
+	withoutUrgency.ByUrgency = false
+	items := []Item{
+		job("late", api.Normal, time.Minute, time.Hour),
+		job("no-deadline", api.Normal, 0, time.Minute),
+		job("long", api.Normal, 2*time.Hour, 100*time.Minute),
+		job("short", api.Normal, time.Hour, 10*time.Minute),
+		item("service", api.KindService, api.Normal, 0, 0),
+		job("critical", api.Critical, 0, 0),
+		item("low-service", api.KindService, api.Low, 0, 0),
+	}
+	for _, tc := range []struct {
+		name string
+		opts Options
+		want []string
+	}{
+		{"urgent work does not wait behind flexible work, and hopeless work does not make other work late", DefaultOptions(),
+			[]string{"critical", "service", "long", "short", "no-deadline", "late", "low-service"}},
+		{"without slack a class keeps the order of arrival", withoutSlack,
+			[]string{"critical", "service", "late", "no-deadline", "long", "short", "low-service"}},
+		{"without any order the arrival alone counts", withoutUrgency,
+			[]string{"late", "no-deadline", "long", "short", "service", "critical", "low-service"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := New(tc.opts)
+			for _, it := range items {
+				q.Add(it)
+			}
+			if diff := cmp.Diff(tc.want, names(q.Ready(start, 100))); diff != "" {
+				t.Errorf("order (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestEventsWakeOnlyWhatTheyHelp(t *testing.T) {
+	free := func(cpu int64) Event {
+		return Event{Kind: EventFreed, Region: "r", Free: api.Resources{MilliCPU: cpu, MemoryMB: 1000}}
+	}
+	for _, tc := range []struct {
+		name  string
+		cause Cause
+		event Event
+		want  []string
+	}{
+		{"room that is large enough wakes a task that lacked capacity", CauseCapacity, free(1000), []string{"a"}},
+		{"room that is too small wakes nothing", CauseCapacity, free(999), nil},
+		{"room does not wake a task whose team is at its quota", CauseQuota, free(1000), nil},
+		{"the team's use falling wakes the team's task", CauseQuota, Event{Kind: EventTeam, Team: "team-a"}, []string{"a"}},
+		{"another team's use falling wakes nothing", CauseQuota, Event{Kind: EventTeam, Team: "team-b"}, nil},
+		{"room does not wake a task that can never run", CauseInfeasible, free(99999), nil},
+		{"a change of the fleet wakes a task that could never run", CauseInfeasible, Event{Kind: EventFleet}, []string{"a"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			q := New(DefaultOptions())
+			q.Add(job("a", api.Normal, 0, 0))
+			q.Ready(start, 1)
+			q.Refused("a", tc.cause, start)
+			q.Notify(tc.event)
+			got := names(q.Ready(start.Add(DefaultOptions().MinBackOff/2), 10))
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("woken (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a blocked team or shape holding up what is behind it.
+func TestRefusedShapeDoesNotHoldUpOthers(t *testing.T) {
+	q := New(DefaultOptions())
+	for i := range 3 {
+		blocked := job("blocked", api.High, 0, 0)
+		blocked.Task.ID = api.NewTaskID("blocked", i)
+		q.Add(blocked)
+	}
+	q.Add(job("free", api.Low, 0, 0))
+	for _, it := range q.Ready(start, 3) {
+		q.Refused(it.Task.ID, CauseQuota, start)
+	}
+	if diff := cmp.Diff([]string{"free"}, names(q.Ready(start, 10))); diff != "" {
+		t.Errorf("ready behind a blocked team (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against back-off keeping urgent work from starting within 8.7 s of the moment at which room appears.
+func TestUrgentBackOffLeavesTimeToStart(t *testing.T) {
+	const startBound = 8700 * time.Millisecond
+	q := New(DefaultOptions())
+	q.Add(item("s", api.KindService, api.Critical, 0, 0))
+	last := start
+	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(50 * time.Millisecond) {
+		for _, it := range q.Ready(now, 1) {
+			if gap := now.Sub(last); gap > startBound/4 {
+				t.Fatalf("urgent task waited %s between two tries", gap)
+			}
+			last = now
+			q.Refused(it.Task.ID, CauseCapacity, now)
+		}
+	}
+}
+
+// Guards against a placement that the rack's owner refuses going round between the same workers.
+func TestRejectionLeadsElsewhereAndThenBacksOff(t *testing.T) {
+	q := New(DefaultOptions())
+	it := job("a", api.Normal, 0, 0)
+	q.Add(it)
+	tries, now := 0, start
+	avoided := map[api.WorkerID]bool{}
+	for ; now.Before(start.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		for _, got := range q.Ready(now, 1) {
+			for _, w := range got.Avoid {
+				avoided[w] = true
+			}
+			worker := api.WorkerID(fmt.Sprint("w", tries))
+			if avoided[worker] {
+				t.Fatalf("try %d went to %s again", tries, worker)
+			}
+			tries++
+			q.Placed("a")
+			q.Rejected(it, worker, now)
+			if len(got.Avoid) != tries-1 {
+				t.Fatalf("try %d avoids %v, want every worker that refused", tries, got.Avoid)
+			}
+		}
+	}
+	if tries < freeTries || tries > 12 {
+		t.Errorf("%d tries in 20 s, want some at once and then fewer", tries)
+	}
+}
+
+// Guards against a cancellation wave that scans the queue for every task.
+func TestCancellationCostDoesNotGrowWithQueue(t *testing.T) {
+	perTask := func(size int) float64 {
+		q := New(DefaultOptions())
+		for i := range size {
+			it := job(fmt.Sprint("w", i%200), api.Normal, time.Duration(i)*time.Second, time.Second)
+			it.Task.ID = api.TaskID(fmt.Sprint(i))
+			q.Add(it)
+		}
+		began := time.Now()
+		for i := range size / 2 {
+			q.Cancel(api.TaskID(fmt.Sprint(i * 2)))
+		}
+		return float64(time.Since(began)) / float64(size/2)
+	}
+	fastest := func(size int) float64 {
+		return min(perTask(size), perTask(size), perTask(size))
+	}
+	small, large := fastest(2000), fastest(64000)
+	// A scan would cost 32 times as much; the logarithm and caches explain less than a third of that.
+	if large > 10*small {
+		t.Errorf("cancelling one of 64,000 tasks takes %.0f ns and one of 2,000 takes %.0f ns", large, small)
+	}
+}
+
+// Guards against lost or doubled tasks when every operation is mixed with every other.
+func TestLenCountsEveryTaskOnce(t *testing.T) {
+	q := New(DefaultOptions())
+	now := start
+	for i := range 3000 {
+		now = now.Add(70 * time.Millisecond)
+		it := job(fmt.Sprint("w", i%7), api.Urgency(i%4), time.Duration(i%50)*time.Second, time.Second)
+		it.Task.ID = api.TaskID(fmt.Sprint(i % 400))
+		q.Add(it)
+		given := map[api.TaskID]bool{}
+		for k, r := range q.Ready(now, i%5) {
+			if given[r.Task.ID] {
+				t.Fatalf("step %d gave out %s twice", i, r.Task.ID)
+			}
+			given[r.Task.ID] = true
+			switch (i + k) % 5 {
+			case 0:
+				q.Placed(r.Task.ID)
+			case 1:
+				q.Refused(r.Task.ID, CauseCapacity, now)
+			case 2:
+				q.Rejected(r, "w", now)
+			case 3:
+				q.Cancel(r.Task.ID)
+			default:
+				q.Return(r.Task.ID)
+			}
+		}
+		if i%11 == 0 {
+			q.Notify(Event{Kind: EventFleet})
+		}
+	}
+	total, far := 0, now.Add(time.Hour)
+	for batch := q.Ready(far, 50); len(batch) > 0; batch = q.Ready(far, 50) {
+		total += len(batch)
+	}
+	if total != q.Len() {
+		t.Errorf("%d tasks were given out of %d that are known", total, q.Len())
+	}
+}
