--- /dev/null
+++ b/scheduler/eviction/eviction_test.go
@@ -0,0 +1,144 @@
+package eviction
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/api"
+)
+
+func batch(index int, lost, slack time.Duration) Candidate {
+	return Candidate{
+		Index: index, Kind: api.KindJob, Urgency: api.Normal, Size: api.Resources{MilliCPU: 1000},
+		Lost: lost, Slack: slack, CheckpointAge: -1,
+	}
+}
+
+func with(c Candidate, change func(*Candidate)) Candidate {
+	change(&c)
+	return c
+}
+
+func TestMakeRoom(t *testing.T) {
+	const hour = time.Hour
+	watcher := with(batch(1, 0, hour), func(c *Candidate) { c.Kind, c.Urgency = api.KindWatcher, api.Low })
+	service := with(batch(2, 0, hour), func(c *Candidate) { c.Kind, c.Urgency = api.KindService, api.Low })
+	exempt := with(batch(3, 0, hour), func(c *Candidate) { c.Evictions = MaxEvictions })
+	urgent := with(batch(4, 0, hour), func(c *Candidate) { c.Urgency = api.Critical })
+	asked := with(batch(5, 5*time.Minute, hour), func(c *Candidate) {
+		c.LastStep, c.SinceStep = StepCheckpoint, DefaultOptions().CheckpointWait
+	})
+	for _, tc := range []struct {
+		name       string
+		kind       api.Kind
+		urgency    api.Urgency
+		missing    int64
+		candidates []Candidate
+		want       []Action
+	}{
+		{"the task that loses least gives way", api.KindService, api.High, 1000,
+			[]Candidate{batch(1, 5*time.Minute, hour), batch(2, time.Minute, hour)}, []Action{{Index: 2, Step: StepCheckpoint}}},
+		{"of equal losses the one with most slack gives way", api.KindService, api.High, 1000,
+			[]Candidate{batch(1, time.Minute, hour), batch(2, time.Minute, 2*hour)}, []Action{{Index: 2, Step: StepCheckpoint}}},
+		{"a task that would miss its deadline gives way after one that loses more", api.KindService, api.High, 1000,
+			[]Candidate{batch(1, time.Minute, time.Minute), batch(2, 5*time.Minute, hour)}, []Action{{Index: 2, Step: StepCheckpoint}}},
+		{"a task that was asked for a checkpoint long enough ago is evicted", api.KindService, api.High, 1000,
+			[]Candidate{asked}, []Action{{Index: 5, Step: StepEvict}}},
+		{"a service gives way to nothing", api.KindService, api.Critical, 1000, []Candidate{service}, nil},
+		{"a task that was evicted three times gives way to nothing", api.KindService, api.Critical, 1000, []Candidate{exempt}, nil},
+		{"a watcher is not a victim while a job is enough", api.KindService, api.High, 1000,
+			[]Candidate{watcher, batch(2, hour, hour)}, []Action{{Index: 2, Step: StepCheckpoint}}},
+		{"a watcher gives way to a more urgent service when nothing else does", api.KindService, api.High, 1000,
+			[]Candidate{watcher}, []Action{{Index: 1, Step: StepEvict}}},
+		{"a watcher does not give way to a job", api.KindJob, api.Critical, 1000, []Candidate{watcher}, nil},
+		{"a job does not give way to a job of its own urgency", api.KindJob, api.Critical, 1000, []Candidate{urgent}, nil},
+		{"nobody gives way in vain", api.KindService, api.High, 3000, []Candidate{batch(1, 0, hour), batch(2, 0, hour)}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			opts := DefaultOptions()
+			room, _ := opts.MakeRoom(api.Resources{MilliCPU: tc.missing}, tc.kind, tc.urgency, tc.candidates)
+			if diff := cmp.Diff(tc.want, room.Actions); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a victim that turns out to be unnecessary once a larger one was chosen.
+func TestMakeRoomSparesUnnecessaryVictims(t *testing.T) {
+	opts := DefaultOptions()
+	large := with(batch(2, 5*time.Minute, time.Hour), func(c *Candidate) { c.Size.MilliCPU = 4000 })
+	room, ok := opts.MakeRoom(api.Resources{MilliCPU: 4000}, api.KindService, api.High,
+		[]Candidate{batch(1, time.Minute, time.Hour), large})
+	if !ok || room.Victims != 1 || room.Actions[0].Index != 2 {
+		t.Errorf("room = %+v, want the large victim alone", room)
+	}
+}
+
+func TestPressureHoldsAgainstNoise(t *testing.T) {
+	opts := DefaultOptions()
+	noHold := opts
+	noHold.Hysteresis = false
+	for _, tc := range []struct {
+		name      string
+		opts      Options
+		slowdowns []float64
+		want      bool
+	}{
+		{"one bad report does not begin pressure", opts, []float64{1, 3, 1, 1}, false},
+		{"alternating reports do not begin pressure", opts, []float64{3, 1, 3, 1, 3, 1, 3}, false},
+		{"lasting slowness begins pressure", opts, []float64{3, 3, 3, 3, 3}, true},
+		{"one good report does not end pressure", opts, []float64{3, 3, 3, 3, 3, 1, 3}, true},
+		{"lasting calm ends pressure", opts, []float64{3, 3, 3, 3, 3, 1, 1, 1, 1, 1}, false},
+		{"between the limits the state stays", opts, []float64{3, 3, 3, 3, 3, 1.3, 1.3, 1.3, 1.3, 1.3}, true},
+		{"without hysteresis one bad report begins pressure", noHold, []float64{1, 3}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tracker := NewTracker(tc.opts)
+			now := time.Unix(0, 0)
+			for _, slowdown := range tc.slowdowns {
+				now = now.Add(5 * time.Second)
+				tracker.Observe("w", 0.5, slowdown, now)
+			}
+			if got := tracker.Of("w").Active; got != tc.want {
+				t.Errorf("active = %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestRelieveTakesOneStepAtATime(t *testing.T) {
+	throttled := func(c Candidate, since time.Duration) Candidate {
+		c.Throttled, c.LastStep, c.SinceStep = true, StepThrottle, since
+		return c
+	}
+	fresh := batch(1, 0, time.Hour)
+	opts := DefaultOptions()
+	for _, tc := range []struct {
+		name       string
+		pressure   Pressure
+		candidates []Candidate
+		want       []Action
+	}{
+		{"no pressure, no step", Pressure{}, []Candidate{fresh}, nil},
+		{"the first step is a throttle", Pressure{Active: true}, []Candidate{fresh},
+			[]Action{{Index: 1, Step: StepThrottle, Share: opts.ThrottleShare}}},
+		{"no second step before a report can show the first", Pressure{Active: true},
+			[]Candidate{throttled(fresh, time.Second), batch(2, 0, time.Hour)}, nil},
+		{"all are throttled before one is stopped", Pressure{Active: true},
+			[]Candidate{throttled(fresh, time.Minute), batch(2, 0, time.Hour)},
+			[]Action{{Index: 2, Step: StepThrottle, Share: opts.ThrottleShare}}},
+		{"a checkpoint comes before the eviction", Pressure{Active: true},
+			[]Candidate{throttled(batch(1, time.Minute, time.Hour), time.Minute)}, []Action{{Index: 1, Step: StepCheckpoint}}},
+		{"calm lifts a throttle", Pressure{Calm: true}, []Candidate{throttled(fresh, time.Minute)},
+			[]Action{{Index: 1, Step: StepLift, Share: 1}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, opts.Relieve(tc.pressure, tc.candidates)); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/placement/place_test.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/api"
+)
+
+// predictor knows one bad pair: "noisy" doubles the run time of "victim".
+type predictor struct{}
+
+func (predictor) ID(work string) int32 {
+	return map[string]int32{"victim": 1, "noisy": 2}[work]
+}
+
+func (predictor) Extra(victim, aggressor int32, _ float64) float64 {
+	if victim == 1 && aggressor == 2 {
+		return 1
+	}
+	return 0
+}
+
+// fleet returns n empty workers in two data centres with racks of two.
+func fleet(n int, change func(i int, node *Node)) []Node {
+	nodes := make([]Node, n)
+	for i := range nodes {
+		nodes[i] = Node{
+			ID:       api.WorkerID(fmt.Sprint("w", i)),
+			Location: api.Location{Region: "r", DataCentre: fmt.Sprint("d", i%2), Rack: fmt.Sprint(i / 4)},
+			Capacity: api.Resources{MilliCPU: 10000, MemoryMB: 10000},
+		}
+		nodes[i].BatchRoom = nodes[i].Capacity
+		if change != nil {
+			change(i, &nodes[i])
+		}
+	}
+	return nodes
+}
+
+func newCluster(nodes []Node, opts Options) *Cluster {
+	return NewCluster(nodes, opts, predictor{}, rand.New(rand.NewPCG(1, 1)))
+}
+
+func size(cpu int64) api.Resources { return api.Resources{MilliCPU: cpu, MemoryMB: cpu} }
+
+func TestPlaceChoosesTheWorker(t *testing.T) {
+	book := func(cpu int64) func(int, *Node) {
+		return func(i int, n *Node) {
+			if i == 1 {
+				n.Booked = size(cpu)
+			}
+		}
+	}
+	accelerated := func(i int, n *Node) {
+		if i == 1 {
+			n.Capacity.Accelerators = 2
+		}
+	}
+	only := func(cause Cause, probe bool) func(int, *Node) {
+		return func(i int, n *Node) {
+			if i == 1 {
+				n.Closed, n.Probe = cause, probe
+			}
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		nodes  []Node
+		batch  bool
+		size   api.Resources
+		avoid  []api.WorkerID
+		want   string
+		refuse bool
+	}{
+		{"batch is packed onto the fuller worker", fleet(2, book(4000)), true, size(1000), nil, "w1", false},
+		{"batch leaves the reserve for urgent work", fleet(1, func(_ int, n *Node) { n.Booked = size(9000) }), true, size(900), nil, "", true},
+		{"a service uses the reserve", fleet(1, func(_ int, n *Node) { n.Booked = size(9000) }), false, size(900), nil, "w0", false},
+		{"batch stays away from predicted use, whatever is reserved",
+			fleet(1, func(_ int, n *Node) { n.Booked, n.BatchRoom = size(100), size(500) }), true, size(900), nil, "", true},
+		{"work without accelerators leaves the worker that has some", fleet(2, accelerated), true, size(1000), nil, "w0", false},
+		{"work without accelerators leaves room beside free ones", fleet(2, accelerated)[1:], true, size(7000), nil, "", true},
+		{"work with accelerators finds the worker that has some", fleet(2, accelerated), true,
+			api.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}, nil, "w1", false},
+		{"a worker that refused the task is not tried again", fleet(2, nil), false, size(1000), []api.WorkerID{"w0"}, "w1", false},
+		{"a quarantined worker takes nothing", fleet(2, only(Quarantined, false))[1:], true, size(100), nil, "", true},
+		{"a quarantined worker that is due for a probe takes a job", fleet(2, only(Quarantined, true)), true, size(100), nil, "w1", false},
+		{"a probe is never a service", fleet(2, only(Quarantined, true)), false, size(100), nil, "w0", false},
+		{"a drained worker takes nothing", fleet(2, only(Drained, false))[1:], true, size(100), nil, "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(tc.nodes, DefaultOptions())
+			r := &Request{Work: c.WorkID("x", !tc.batch), Batch: tc.batch, Size: tc.size, Use: tc.size, Avoid: tc.avoid}
+			at, ok := c.Place(r)
+			got := ""
+			if ok {
+				got = string(c.Worker(at).ID)
+			}
+			if got != tc.want || ok == tc.refuse {
+				t.Errorf("placed on %q (%t), want %q; %s", got, ok, tc.want, c.Explain(r))
+			}
+		})
+	}
+}
+
+// Guards against a service that is lost with one rack or data centre.
+func TestServiceIsSpread(t *testing.T) {
+	c := newCluster(fleet(16, nil), DefaultOptions())
+	perDC, perRack := map[string]int{}, map[string]int{}
+	for range 8 {
+		r := &Request{Work: c.WorkID("s", true), Size: size(1000), Use: size(1000)}
+		at, ok := c.Place(r)
+		if !ok {
+			t.Fatal("not placed")
+		}
+		c.Assume(at, r.Work, r.Size, r.Use)
+		where := c.Worker(at).Location
+		perDC[where.DataCentre]++
+		perRack[where.DataCentre+"/"+where.Rack]++
+	}
+	if diff := cmp.Diff(map[string]int{"d0": 4, "d1": 4}, perDC); diff != "" {
+		t.Errorf("per data centre (-want +got):\n%s", diff)
+	}
+	for rack, n := range perRack {
+		if n != 1 {
+			t.Errorf("%d of 8 tasks are in rack %s of 8 racks", n, rack)
+		}
+	}
+}
+
+// Guards against a noisy job being put beside a service that suffers from it, also when the service was placed just now.
+func TestInterferenceKeepsVictimAndAggressorApart(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		enabled bool
+		apart   bool
+	}{
+		{"with prediction the job goes elsewhere", true, true},
+		{"without prediction packing puts it there", false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			opts := DefaultOptions()
+			opts.Interference = tc.enabled
+			c := newCluster(fleet(2, nil), opts)
+			victim := c.WorkID("victim", true)
+			c.Assume(0, victim, size(3000), size(500))
+			r := &Request{Work: c.WorkID("noisy", false), Batch: true, Size: size(1000), Use: size(1000)}
+			at, ok := c.Place(r)
+			if !ok || (at != 0) != tc.apart {
+				t.Errorf("placed on %d (%t)", at, ok)
+			}
+		})
+	}
+}
+
+// Guards against an operator not learning why a task waits.
+func TestExplainCountsEachWorkerOnce(t *testing.T) {
+	nodes := fleet(10, func(i int, n *Node) {
+		switch {
+		case i < 3:
+			n.Closed = Drained
+		case i < 7:
+			n.Booked = api.Resources{MilliCPU: 9500}
+		default:
+			n.Location.Region = "elsewhere"
+		}
+	})
+	c := newCluster(nodes, DefaultOptions())
+	counts := c.Explain(&Request{Work: c.WorkID("x", true), Size: size(1000), Regions: []string{"r"}})
+	want := Counts{Drained: 3, Processors: 4, OtherRegion: 3}
+	if diff := cmp.Diff(want, counts); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+	if text := counts.String(); !strings.Contains(text, "3 drained") || !strings.Contains(text, "4 too few processors") {
+		t.Errorf("text %q", text)
+	}
+}
