config: parse, merge, validate and diff the folder of work files

Cause: operators state all work in YAML files; nothing read them.

Ruled out: decoding into structs with yaml.Strict, because it stops at the first problem and knows no position after a merge; one limit for each file only, because a folder has to fit into one 16 MiB message between instances, hence 8 MiB for the whole folder.

Change: package config walks the syntax tree, keeps the position of each value through the merge, and reports all problems of a folder at once, sorted. A file is limited to 1,024 opening brackets.

Conclusion: a refused folder changes nothing and says why, with file, line and column.

--- /dev/null
+++ b/config/folder.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/fault"
+)
+
+const opReadFolder = "read folder"
+
+// ReadFolder reads the work files of a folder, keyed by file name. Subfolders, hidden files and files that do not end in
+// .yaml or .yml are ignored.
+func ReadFolder(dir string) (map[string][]byte, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, folderFailure(err)
+	}
+	files := map[string][]byte{}
+	for _, e := range entries {
+		if e.IsDir() || !IsWorkFile(e.Name()) {
+			continue
+		}
+		if len(files) == MaxFiles {
+			return nil, fault.New(fault.CodeTooLarge, opReadFolder, "%s has more than %d work files", dir, MaxFiles)
+		}
+		content, err := readLimited(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return nil, folderFailure(err)
+		}
+		files[e.Name()] = content
+	}
+	return files, nil
+}
+
+// readLimited reads one byte more than is accepted, so that Parse sees that the file is too large.
+func readLimited(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
+}
+
+func folderFailure(err error) error {
+	if errors.Is(err, os.ErrNotExist) {
+		return fault.New(fault.CodeNotFound, opReadFolder, "%s", err)
+	}
+	return fault.New(fault.CodeInvalid, opReadFolder, "%s", err)
+}
--- /dev/null
+++ b/config/limits.go
@@ -0,0 +1,98 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+)
+
+// Limits of a folder.
+const (
+	// MaxFileBytes is the largest size of one file.
+	MaxFileBytes = 64 << 10
+	// MaxFiles is the largest number of files in a folder.
+	MaxFiles = 4096
+	// MaxFolderBytes is the largest size of all files together. The whole folder has to fit into one message between
+	// instances (16 MiB).
+	MaxFolderBytes = 8 << 20
+	// MaxFileNameBytes is the longest name of a file.
+	MaxFileNameBytes = 128
+	// MaxNameBytes is the longest name of a piece of work or a team.
+	MaxNameBytes = 63
+)
+
+// Limits of values.
+const (
+	maxReplicas          = 10_000
+	maxMilliCPU          = 1024 * 1000
+	maxMemoryMB          = 64 << 20
+	maxAccelerators      = 64
+	maxRequestsPerSecond = 10_000_000
+	maxCommandParts      = 64
+	maxCommandPartBytes  = 4096
+	maxRegions           = 64
+	// maxDays bounds run times and deadlines.
+	maxDays = 366
+)
+
+const nameCharacters = "lower-case letters, digits and inner hyphens"
+
+// CheckFileName returns why a file name is refused, or an empty text.
+func CheckFileName(name string) string {
+	if len(name) > MaxFileNameBytes {
+		return fmt.Sprintf("file name has %d bytes; at most %d are accepted", len(name), MaxFileNameBytes)
+	}
+	if !IsWorkFile(name) {
+		return "file name must end in .yaml or .yml and not begin with a dot"
+	}
+	for _, r := range name {
+		if !isLetterOrDigit(r) && !strings.ContainsRune("._-", r) {
+			return fmt.Sprintf("file name contains %q; accepted are letters, digits, dot, hyphen and underscore", r)
+		}
+	}
+	return ""
+}
+
+// IsWorkFile reports whether a file of this name belongs to the folder's work files; others are ignored.
+func IsWorkFile(name string) bool {
+	if strings.HasPrefix(name, ".") {
+		return false
+	}
+	return strings.HasSuffix(name, ".yaml") || strings.HasSuffix(name, ".yml")
+}
+
+func isLetterOrDigit(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+}
+
+// checkName returns why a name of work, a team or a region is refused, or an empty text. Names become parts of table
+// keys and task identifiers, which use the slash and the dot as separators.
+func checkName(name string) string {
+	if name == "" {
+		return "name must not be empty"
+	}
+	if len(name) > MaxNameBytes {
+		return fmt.Sprintf("name has %d bytes; at most %d are accepted", len(name), MaxNameBytes)
+	}
+	for i, r := range name {
+		hyphen := r == '-' && i > 0 && i < len(name)-1
+		lower := r >= 'a' && r <= 'z' || r >= '0' && r <= '9'
+		if !hyphen && !lower {
+			return fmt.Sprintf("name %q is not accepted; accepted are %s", name, nameCharacters)
+		}
+	}
+	return ""
+}
+
+// maxBrackets bounds the opening brackets and braces of one file. The YAML library takes quadratic time in the depth of
+// their nesting: 14 s for 64 KiB of opening brackets.
+const maxBrackets = 1024
+
+// checkNesting returns why a file is refused before it is parsed, or an empty text.
+func checkNesting(content []byte) string {
+	count := bytes.Count(content, []byte("[")) + bytes.Count(content, []byte("{"))
+	if count > maxBrackets {
+		return fmt.Sprintf("file has %d opening brackets and braces; at most %d are accepted", count, maxBrackets)
+	}
+	return ""
+}
--- /dev/null
+++ b/config/schema.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"bronzehook/api"
+)
+
+// Kinds of files besides the kinds of work.
+const (
+	// KindTeam is the kind of a file that states a team with its quotas.
+	KindTeam = "team"
+	// KindFloors is the kind of the file that states the floors of the urgencies.
+	KindFloors = "floors"
+)
+
+// Keys of the files.
+const (
+	keyKind              = "kind"
+	keyName              = "name"
+	keyOverride          = "override"
+	keyTeam              = "team"
+	keyUrgency           = "urgency"
+	keyReplicas          = "replicas"
+	keyCPU               = "cpu"
+	keyMemory            = "memory"
+	keyAccelerators      = "accelerators"
+	keyRunTime           = "runTime"
+	keyDeadline          = "deadline"
+	keyRegions           = "regions"
+	keyCommand           = "command"
+	keyRequestsPerSecond = "requestsPerSecond"
+)
+
+// reader turns a node into a value; a text that is not empty says why it is refused.
+type reader func(node ast.Node) (any, string)
+
+// schema lists the keys of a kind of file.
+type schema struct {
+	keys     map[string]reader
+	required []string
+}
+
+var schemas = map[string]schema{
+	string(api.KindService): workSchema(nil),
+	string(api.KindWatcher): workSchema(nil),
+	string(api.KindJob):     workSchema(map[string]reader{keyRunTime: scalar(parseDuration), keyDeadline: scalar(parseDuration)}),
+	KindTeam: {keys: map[string]reader{
+		keyCPU: scalar(parseCPU), keyMemory: scalar(parseMemory), keyAccelerators: scalar(parseAccelerators),
+		keyRequestsPerSecond: scalar(parseRate),
+	}},
+	KindFloors: floorsSchema(),
+}
+
+func workSchema(more map[string]reader) schema {
+	keys := map[string]reader{
+		keyTeam: scalar(parseName), keyUrgency: scalar(parseUrgency), keyReplicas: scalar(parseReplicas),
+		keyCPU: scalar(parseCPU), keyMemory: scalar(parseMemory), keyAccelerators: scalar(parseAccelerators),
+		keyRegions: readRegions, keyCommand: readCommand,
+	}
+	for key, read := range more {
+		keys[key] = read
+	}
+	return schema{keys: keys, required: []string{keyTeam, keyUrgency, keyCPU, keyMemory}}
+}
+
+func floorsSchema() schema {
+	s := schema{keys: map[string]reader{}}
+	for u := api.Low; u <= api.Critical; u++ {
+		s.keys[u.String()] = scalar(parsePercent)
+	}
+	return s
+}
+
+// accepted lists the keys of a kind for an error text.
+func (s schema) accepted() string {
+	names := []string{keyKind, keyName, keyOverride}
+	for key := range s.keys {
+		names = append(names, key)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+func kindNames() string {
+	return strings.Join([]string{string(api.KindService), string(api.KindJob), string(api.KindWatcher), KindTeam, KindFloors}, ", ")
+}
+
+func scalar[T any](parse func(string) (T, string)) reader {
+	return func(node ast.Node) (any, string) {
+		text, ok := scalarText(node)
+		if !ok {
+			return nil, "a single value is expected"
+		}
+		return parse(text)
+	}
+}
+
+// scalarText returns the text of a node that holds one value. Aliases, tags and nulls are refused: a file states its
+// values in full, and an alias could stand for something large.
+func scalarText(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return n.GetToken().Value, true
+	}
+	return "", false
+}
+
+func parseName(text string) (string, string) { return text, checkName(text) }
+
+func parseReplicas(text string) (int, string) {
+	value, reason := parseInteger(text, 0, maxReplicas)
+	return int(value), reason
+}
+
+func parseAccelerators(text string) (int64, string) { return parseInteger(text, 0, maxAccelerators) }
+
+func parseBool(text string) (bool, string) {
+	if text != "true" && text != "false" {
+		return false, fmt.Sprintf("%q is not accepted; accepted: true, false", text)
+	}
+	return text == "true", ""
+}
+
+func readRegions(node ast.Node) (any, string) {
+	names, reason := readList(node, maxRegions)
+	for _, name := range names {
+		if reason == "" {
+			reason = checkName(name)
+		}
+	}
+	return names, reason
+}
+
+func readCommand(node ast.Node) (any, string) {
+	parts, reason := readList(node, maxCommandParts)
+	for _, part := range parts {
+		if len(part) > maxCommandPartBytes {
+			return nil, fmt.Sprintf("a part of the command has %d bytes; at most %d are accepted", len(part), maxCommandPartBytes)
+		}
+	}
+	return parts, reason
+}
+
+func readList(node ast.Node, limit int) ([]string, string) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		return nil, "a list of values is expected"
+	}
+	if len(sequence.Values) == 0 || len(sequence.Values) > limit {
+		return nil, fmt.Sprintf("the list has %d entries; accepted: 1 to %d", len(sequence.Values), limit)
+	}
+	texts := make([]string, 0, len(sequence.Values))
+	for _, value := range sequence.Values {
+		text, ok := scalarText(value)
+		if !ok {
+			return nil, "each entry of the list must be a single value"
+		}
+		texts = append(texts, text)
+	}
+	return texts, ""
+}
