config/rollout: record changes and keep the latest revision in force

Cause: the folder could be parsed, but neither recorded nor spread.

Ruled out: the version of the table's row as base version of an edit, because it starts again when a deleted file is created anew; a list of changed files inside config/head, because every instance reads that row every 2 s; one List for each poll, because it reads the whole folder.

Change: Service over platform.Table. Record is one transaction with conditions on config/head and each file; a race on other files is retried, a race on the same file is a ConflictError with both edits; a lost reply is found by the operation id in config/recent. An idle poll is one read (0.5 reads/s an instance), a change of one file three. Bundles from peers are verified by digest and refused below the revision that is known to exist.

--- /dev/null
+++ b/config/rollout/rollout_test.go
@@ -0,0 +1,389 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"bronzehook/api"
+	"bronzehook/config/rollout/tabletest"
+	"bronzehook/fault"
+	"bronzehook/kernel"
+	"bronzehook/platform"
+)
+
+const (
+	testPoll   = 5 * time.Millisecond
+	testRecord = 300 * time.Millisecond
+	testWait   = 5 * time.Second
+)
+
+type fakePeers struct {
+	mu     sync.Mutex
+	bundle Bundle
+	down   bool
+}
+
+func (p *fakePeers) set(b Bundle, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bundle, p.down = b, down
+}
+
+func (p *fakePeers) Fetch(context.Context, uint64) (Bundle, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return Bundle{}, fault.New(fault.CodeUnreachable, "fetch", "no peer")
+	}
+	return p.bundle, nil
+}
+
+type fakeInstances []InstanceStatus
+
+func (f fakeInstances) Instances() []InstanceStatus { return f }
+
+func newService(id string, table platform.Table, peers PeerSource) *Service {
+	return New(Options{Self: api.InstanceID(id), Table: table, Peers: peers, Bus: kernel.NewBus(), Logger: zerolog.Nop(),
+		PollInterval: testPoll, RecordTimeout: testRecord, TableTimeout: testRecord / 3})
+}
+
+func start(t *testing.T, s *Service) *Service {
+	t.Helper()
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func team(name string) []byte { return []byte("kind: team\nname: " + name + "\n") }
+
+func edit(file, name string, base uint64) Edit {
+	return Edit{File: file, Content: team(name), BaseVersion: base}
+}
+
+func change(author string, edits ...Edit) Change { return Change{Author: author, Edits: edits} }
+
+func mustRecord(t *testing.T, s *Service, c Change) uint64 {
+	t.Helper()
+	revision, err := s.Record(t.Context(), c)
+	if err != nil {
+		t.Fatalf("record: %v", err)
+	}
+	return revision
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testWait); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen within %s", what, testWait)
+		}
+	}
+}
+
+// Guards against a lost update: the second operator must see both edits, and nothing of the refused change may remain.
+func TestRaceOnOneFileShowsBothEdits(t *testing.T) {
+	table := tabletest.New()
+	a, b := start(t, newService("a", table, nil)), start(t, newService("b", table, nil))
+	mustRecord(t, a, change("ann", edit("x.yaml", "first", 0)))
+	mustRecord(t, a, change("ann", edit("x.yaml", "second", 1)))
+	_, err := b.Record(t.Context(), change("bob", edit("x.yaml", "mine", 1), edit("y.yaml", "new", 0)))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("record: %v, want a ConflictError", err)
+	}
+	want := []FileConflict{{File: "x.yaml", BaseVersion: 1, Mine: string(team("mine")), Theirs: string(team("second")),
+		TheirsVersion: 2, TheirsAuthor: "ann"}}
+	if diff := cmp.Diff(want, conflict.Files); diff != "" {
+		t.Errorf("conflict (-want +got):\n%s", diff)
+	}
+	if rows, _ := table.List(t.Context(), FilePrefix); len(rows) != 1 {
+		t.Errorf("%d files after a refused change, want 1", len(rows))
+	}
+}
+
+// Guards against a file that is deleted and created again passing for the version that an operator worked from.
+func TestRecreatedFileConflictsWithItsOldVersion(t *testing.T) {
+	s := start(t, newService("a", tabletest.New(), nil))
+	mustRecord(t, s, change("ann", edit("x.yaml", "first", 0)))
+	mustRecord(t, s, change("ann", Edit{File: "x.yaml", Delete: true, BaseVersion: 1}))
+	mustRecord(t, s, change("ann", edit("x.yaml", "other", 0)))
+	if _, err := s.Record(t.Context(), change("bob", edit("x.yaml", "mine", 1))); !fault.Is(err, fault.CodeConflict) {
+		t.Errorf("record over a recreated file: %v, want a conflict", err)
+	}
+}
+
+// Guards against refusing operators who edit different files at the same time.
+func TestRaceOnDifferentFilesRecordsAll(t *testing.T) {
+	table := tabletest.New()
+	const operators = 6
+	var wait sync.WaitGroup
+	failures := make(chan error, operators)
+	for i := range operators {
+		s := newService(string(rune('a'+i)), table, nil)
+		s.options.RecordTimeout = testWait
+		start(t, s)
+		wait.Go(func() {
+			name := string(rune('a' + i))
+			_, err := s.Record(context.Background(), change(name, edit(name+".yaml", name, 0)))
+			failures <- err
+		})
+	}
+	wait.Wait()
+	close(failures)
+	for err := range failures {
+		if err != nil {
+			t.Errorf("record: %v", err)
+		}
+	}
+	late := start(t, newService("late", table, nil))
+	if got := len(late.Snapshot().Files()); got != operators || late.Snapshot().Revision != operators {
+		t.Errorf("%d files at revision %d, want %d", got, late.Snapshot().Revision, operators)
+	}
+}
+
+// Guards against recording a change twice, or calling it failed, when the reply to its write is lost.
+func TestLostReplyIsRecognised(t *testing.T) {
+	table := tabletest.New()
+	s := start(t, newService("a", table, nil))
+	table.SetFaults(tabletest.Faults{LostReplies: 1})
+	if got := mustRecord(t, s, change("ann", edit("x.yaml", "first", 0))); got != 1 {
+		t.Errorf("revision = %d, want 1", got)
+	}
+	if got := len(table.Log()); got != 1 {
+		t.Errorf("%d transactions took effect, want 1", got)
+	}
+}
+
+// Guards against a second recording when an operator repeats the change by way of another instance.
+func TestRepetitionThroughAnotherInstance(t *testing.T) {
+	table := tabletest.New()
+	a, b := start(t, newService("a", table, nil)), start(t, newService("b", table, nil))
+	c := Change{Author: "ann", OpID: "op-1", Edits: []Edit{edit("x.yaml", "first", 0)}}
+	mustRecord(t, a, c)
+	mustRecord(t, a, change("bob", edit("x.yaml", "second", 1)))
+	if got := mustRecord(t, b, c); got != 1 {
+		t.Errorf("repeated change has revision %d, want its first one, 1", got)
+	}
+	c.Edits[0].Content = team("other")
+	if _, err := b.Record(t.Context(), c); !fault.Is(err, fault.CodeInvalid) {
+		t.Errorf("another change under the same operation id: %v, want it refused", err)
+	}
+}
+
+func TestRecordFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults tabletest.Faults
+		change Change
+		want   fault.Code
+	}{
+		{"a table that is down must not be reported as recorded", tabletest.Faults{Down: true}, change("ann", edit("x.yaml", "x", 0)), fault.CodeStoreUnavailable},
+		{"a slow table must not hold the operator for longer than the limit", tabletest.Faults{Delay: time.Minute}, change("ann", edit("x.yaml", "x", 0)), fault.CodeStoreUnavailable},
+		{"an invalid file must be refused before the table is written", tabletest.Faults{}, change("ann", Edit{File: "x.yaml", Content: []byte("kind: none")}), fault.CodeInvalid},
+		{"a valid file must not take effect beside an invalid one", tabletest.Faults{}, change("ann", edit("x.yaml", "x", 0), Edit{File: "y.yaml", Content: []byte("{")}), fault.CodeInvalid},
+		{"two edits of one file must not depend on their order", tabletest.Faults{}, change("ann", edit("x.yaml", "x", 0), edit("x.yaml", "y", 0)), fault.CodeInvalid},
+		{"a change without an author must not be recorded", tabletest.Faults{}, change("", edit("x.yaml", "x", 0)), fault.CodeInvalid},
+		{"deleting a file that somebody else deleted must be a conflict", tabletest.Faults{}, change("ann", Edit{File: "x.yaml", Delete: true, BaseVersion: 3}), fault.CodeConflict},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			table := tabletest.New()
+			s := start(t, newService("a", table, nil))
+			table.SetFaults(tc.faults)
+			begin := time.Now()
+			_, err := s.Record(t.Context(), tc.change)
+			if !fault.Is(err, tc.want) {
+				t.Errorf("record: %v, want %s", err, tc.want)
+			}
+			if took := time.Since(begin); took > testWait {
+				t.Errorf("record took %s", took)
+			}
+			if len(table.Log()) != 0 || s.Snapshot().Revision != 0 {
+				t.Errorf("something of a refused change took effect")
+			}
+		})
+	}
+}
+
+// Guards against claiming that nothing was recorded when the write was sent and its reply never came.
+func TestUncertainRecordSaysSo(t *testing.T) {
+	table := tabletest.New()
+	s := start(t, newService("a", table, nil))
+	table.SetFaults(tabletest.Faults{LostReplies: 1})
+	s.options.RecordTimeout = time.Millisecond
+	blocking := &downAfterCommit{Table: table}
+	s.table.table = blocking
+	_, err := s.Record(t.Context(), change("ann", edit("x.yaml", "x", 0)))
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) || !unavailable.Uncertain {
+		t.Errorf("record: %v, want an uncertain UnavailableError", err)
+	}
+}
+
+// downAfterCommit goes down with the first commit.
+type downAfterCommit struct{ *tabletest.Table }
+
+func (d *downAfterCommit) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	defer d.SetFaults(tabletest.Faults{Down: true})
+	return d.Table.Commit(ctx, txn)
+}
+
+func TestStartWithTableDown(t *testing.T) {
+	table := tabletest.New()
+	source := start(t, newService("peer", table, nil))
+	mustRecord(t, source, change("ann", edit("x.yaml", "first", 0)))
+	mustRecord(t, source, change("ann", edit("y.yaml", "second", 0)))
+	good, err := source.Bundle()
+	if err != nil {
+		t.Fatal(err)
+	}
+	behind, corrupted := good, good
+	behind.Known = good.Revision + 1
+	corrupted.Files = append([]File{}, good.Files...)
+	corrupted.Files[0].Content = team("changed")
+	cases := []struct {
+		name   string
+		bundle Bundle
+		down   bool
+		want   uint64
+		ready  bool
+	}{
+		{"an instance must start from its peers while the table is down", good, false, 2, true},
+		{"a corrupted bundle must not come in force", corrupted, false, 0, false},
+		{"a bundle below what its sender has heard of must not come in force", behind, false, 0, false},
+		{"an instance that knows nothing must not call itself ready", Bundle{}, true, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			down := tabletest.New()
+			down.SetFaults(tabletest.Faults{Down: true})
+			peers := &fakePeers{bundle: tc.bundle, down: tc.down}
+			s := start(t, newService("new", down, peers))
+			if got := s.Snapshot().Revision; got != tc.want || (s.Ready() == nil) != tc.ready {
+				t.Errorf("revision %d, ready: %v, want %d, %v", got, s.Ready(), tc.want, tc.ready)
+			}
+		})
+	}
+}
+
+// Guards against going back to the revision of a peer that is behind, and against ignoring one that is ahead.
+func TestPeersWhileTableIsDown(t *testing.T) {
+	table, peers := tabletest.New(), &fakePeers{down: true}
+	source := start(t, newService("peer", table, nil))
+	s := start(t, newService("a", table, peers))
+	mustRecord(t, source, change("ann", edit("x.yaml", "first", 0)))
+	older, _ := source.Bundle()
+	mustRecord(t, source, change("ann", edit("x.yaml", "second", 1)))
+	newer, _ := source.Bundle()
+	eventually(t, "revision 2", func() bool { return s.Snapshot().Revision == 2 })
+	table.SetFaults(tabletest.Faults{Down: true})
+	peers.set(older, false)
+	s.Notify(3)
+	time.Sleep(10 * testPoll)
+	if got := s.Snapshot().Revision; got != 2 {
+		t.Errorf("revision = %d after an older bundle, want 2", got)
+	}
+	files := append([]File{}, newer.Files...)
+	files[0].Version, files[0].Content = 3, team("third")
+	peers.set(Bundle{Revision: 3, Known: 3, Files: files, Digest: digestFiles(files)}, false)
+	eventually(t, "revision 3", func() bool { return s.Snapshot().Revision == 3 })
+}
+
+// Guards against acceptance that counts an instance without the revision, or waits for one that has lapsed.
+func TestAccepted(t *testing.T) {
+	s := newService("a", tabletest.New(), nil)
+	s.options.Instances = fakeInstances{{ID: "a"}, {ID: "b", Revision: 1}, {ID: "c", Lapsed: true}, {ID: "d"}}
+	start(t, s)
+	mustRecord(t, s, change("ann", edit("x.yaml", "first", 0)))
+	accepted, waiting := s.Accepted(1)
+	if diff := cmp.Diff([]InstanceStatus{{ID: "d"}}, waiting); accepted || diff != "" {
+		t.Errorf("accepted = %v, waiting (-want +got):\n%s", accepted, diff)
+	}
+	s.options.Instances = fakeInstances{{ID: "d", Revision: 1}}
+	if accepted, _ := s.Accepted(1); !accepted {
+		t.Error("not accepted although all have the revision")
+	}
+}
+
+// Guards against polling that loads the store more than its share: one read for each poll, and changed files only.
+func TestReadsOfTheTable(t *testing.T) {
+	table := tabletest.New()
+	s := start(t, newService("a", table, nil))
+	for i := range 20 {
+		name := string(rune('a' + i))
+		mustRecord(t, s, change("ann", edit(name+".yaml", name, 0)))
+	}
+	follower := newService("b", table, nil)
+	follower.options.PollInterval = time.Hour
+	start(t, follower)
+	mustRecord(t, s, change("ann", edit("a.yaml", "changed", 1)))
+	if err := s.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := table.Counts()
+	follower.refresh(t.Context())
+	changed, _ := table.Counts()
+	follower.refresh(t.Context())
+	idle, _ := table.Counts()
+	if changed-before != 3 || idle-changed != 1 || follower.Snapshot().Revision != 21 {
+		t.Errorf("%d reads for one changed file, %d for an idle poll; want 3 (head, recent, file) and 1", changed-before, idle-changed)
+	}
+}
+
+// Guards against a slow load that puts its older revision in force after a later one.
+func TestOlderSnapshotIsNotPutInForce(t *testing.T) {
+	s := start(t, newService("a", tabletest.New(), nil))
+	mustRecord(t, s, change("ann", edit("x.yaml", "first", 0)))
+	older := s.Snapshot()
+	mustRecord(t, s, change("ann", edit("x.yaml", "second", 1)))
+	s.put(older, FromTable)
+	if got := s.Snapshot().Revision; got != 2 {
+		t.Errorf("revision = %d, want 2", got)
+	}
+}
+
+// hookedTable calls hook once, before the read of a key.
+type hookedTable struct {
+	*tabletest.Table
+	key  string
+	hook func()
+}
+
+func (h *hookedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if hook := h.hook; key == h.key && hook != nil {
+		h.hook = nil
+		hook()
+	}
+	return h.Table.Get(ctx, key)
+}
+
+// Guards against a revision made of files from two: a change is recorded while this instance is between two reads.
+func TestChangeDuringLoad(t *testing.T) {
+	table := tabletest.New()
+	writer := start(t, newService("a", table, nil))
+	mustRecord(t, writer, change("ann", edit("x.yaml", "first", 0)))
+	reader := newService("b", table, nil)
+	hooked := &hookedTable{Table: table, key: KeyRecent, hook: func() {
+		mustRecord(t, writer, change("ann", edit("x.yaml", "second", 1)))
+	}}
+	reader.table.table = hooked
+	if _, err := reader.Latest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now := reader.Snapshot()
+	if now.Revision != 2 || now.Digest != digestFiles(now.Files()) {
+		t.Errorf("revision %d has digest %s, its files have %s", now.Revision, now.Digest, digestFiles(now.Files()))
+	}
+}
--- /dev/null
+++ b/config/rollout/tabletest/table.go
@@ -0,0 +1,148 @@
+// Package tabletest provides an in-memory platform.Table for tests, with the faults that the platform's table has: down,
+// slow and replies that are lost after the write took effect.
+package tabletest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"bronzehook/fault"
+	"bronzehook/platform"
+)
+
+// Table is an in-memory table. Its zero value is not usable; see New.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	results map[string]platform.CommitResult
+	log     []platform.Txn
+	faults  Faults
+	reads   int
+	commits int
+}
+
+// Faults says how the table misbehaves.
+type Faults struct {
+	Down bool
+	// Delay is the time that each call takes.
+	Delay time.Duration
+	// LostReplies is the number of next commits that take effect and then fail.
+	LostReplies int
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+}
+
+// SetFaults replaces the faults.
+func (t *Table) SetFaults(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Counts returns the numbers of reads and commits that were asked for.
+func (t *Table) Counts() (reads, commits int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.commits
+}
+
+// Log returns the transactions that took effect, in order.
+func (t *Table) Log() []platform.Txn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.log)
+}
+
+// Get implements platform.Table.
+func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := t.enter(ctx, &t.reads); err != nil {
+		return platform.Row{}, err
+	}
+	defer t.mu.Unlock()
+	row, ok := t.rows[key]
+	if !ok {
+		return platform.Row{}, fault.New(fault.CodeNotFound, "table get", "%s", key)
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := t.enter(ctx, &t.reads); err != nil {
+		return nil, err
+	}
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	if err := t.enter(ctx, &t.commits); err != nil {
+		return platform.CommitResult{}, err
+	}
+	defer t.mu.Unlock()
+	if result, repeated := t.results[txn.OpID]; repeated {
+		return result, nil
+	}
+	for _, c := range txn.Conditions {
+		if t.rows[c.Key].Version != c.Version {
+			return platform.CommitResult{}, fault.New(fault.CodeConflict, "table commit", "%s has version %d", c.Key, t.rows[c.Key].Version)
+		}
+	}
+	result := t.apply(txn)
+	if t.faults.LostReplies > 0 {
+		t.faults.LostReplies--
+		return platform.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "table commit", "reply lost")
+	}
+	return result, nil
+}
+
+func (t *Table) apply(txn platform.Txn) platform.CommitResult {
+	result := platform.CommitResult{Versions: map[string]uint64{}}
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			result.Versions[w.Key] = 0
+			continue
+		}
+		version := t.rows[w.Key].Version + 1
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version, OpID: txn.OpID}
+		result.Versions[w.Key] = version
+	}
+	t.results[txn.OpID] = result
+	t.log = append(t.log, txn)
+	return result
+}
+
+// enter counts a call, waits and returns with the lock held unless it fails.
+func (t *Table) enter(ctx context.Context, counter *int) error {
+	t.mu.Lock()
+	*counter++
+	faults := t.faults
+	t.mu.Unlock()
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-ctx.Done():
+			return fault.New(fault.CodeStoreUnavailable, "table", "%s", ctx.Err())
+		}
+	}
+	if faults.Down || ctx.Err() != nil {
+		return fault.New(fault.CodeStoreUnavailable, "table", "down")
+	}
+	t.mu.Lock()
+	return nil
+}
