Connect the coordinator to the scheduler's policies

Cause: the coordinator had only a place-all decider in its tests.

Ruled out: a decider that keeps its own copy of the task state; it is built from the view of each cycle, so that it cannot drift from the records.

Conclusion: decisions are pure over the view; the wiring follows.

--- a/api/work.go
+++ b/api/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -66,6 +67,15 @@
 	return TaskID(work + "." + strconv.Itoa(index))
 }
 
+// Work returns the name of the work that the task belongs to.
+func (id TaskID) Work() string {
+	text := string(id)
+	if dot := strings.LastIndexByte(text, '.'); dot >= 0 {
+		return text[:dot]
+	}
+	return text
+}
+
 // WantedState is what the coordinator wants of a task.
 type WantedState string
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,8 +114,6 @@
 	// outbox holds orders that wait for the next send, by instance.
 	outbox  map[api.InstanceID]*runner.Orders
 	sending map[api.InstanceID]bool
-	// reasons holds why a pending task was not placed in the last cycle.
-	reasons map[api.TaskID]string
 }
 
 // task is the coordinator's state of one task.
@@ -177,7 +175,7 @@
 func (c *Coordinator) Claimed(epoch api.Epoch) {
 	t := &term{
 		epoch: epoch, tasks: map[api.TaskID]*task{}, workers: map[api.WorkerID]runner.WorkerReport{},
-		outbox: map[api.InstanceID]*runner.Orders{}, sending: map[api.InstanceID]bool{}, reasons: map[api.TaskID]string{},
+		outbox: map[api.InstanceID]*runner.Orders{}, sending: map[api.InstanceID]bool{},
 	}
 	c.term = t
 	c.log.Info().Uint64(logging.KeyEpoch, uint64(epoch)).Msg("coordinator duty claimed")
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -12,8 +12,11 @@
 	api.Worker
 	Unit  api.Unit
 	Epoch api.Epoch
-	// Usable is set if the worker's rack has an owner that reaches the worker, and no operator drains it.
+	// Usable is set if the worker's rack has an owner that reaches the worker, the worker does not leave and no operator
+	// drains it.
 	Usable bool
+	// Drained is set while an operator drains the worker, or the worker leaves.
+	Drained bool
 }
 
 // TaskView is a task as a decision sees it.
@@ -42,6 +45,8 @@
 type Placement struct {
 	Task   api.TaskID
 	Worker api.WorkerID
+	// Resources is what the attempt reserves; the declared size corrected by what was seen.
+	Resources api.Resources
 }
 
 // Reclaim acts on a running task.
@@ -56,8 +61,6 @@
 type Decision struct {
 	Placements []Placement
 	Reclaims   []Reclaim
-	// Reasons says for each task that was not placed why.
-	Reasons map[api.TaskID]string
 	// Impossible names tasks that can never run, with the reason.
 	Impossible map[api.TaskID]string
 }
@@ -65,10 +68,12 @@
 // Decider makes the decisions. Its methods are called on the control goroutine.
 type Decider interface {
 	Decide(view View) Decision
+	// Reason says why a pending task was not placed when it was last tried; empty if it was not tried.
+	Reason(task api.TaskID) string
 	// Observe takes usage reports, which lag.
-	Observe(usage []runner.UsageReport)
-	// Ended takes the end of an attempt, for what is learned about workers, sizes and run times.
-	Ended(task api.Task, report runner.AttemptReport)
+	Observe(now time.Time, usage []runner.UsageReport)
+	// Ended takes the end of an attempt after the time that it ran, for what is learned about workers, sizes and run times.
+	Ended(now time.Time, task api.Task, report runner.AttemptReport, ran time.Duration)
 }
 
 func (c *Coordinator) decide(t *term, work *api.WorkSet) {
@@ -87,9 +92,38 @@
 	for id, reason := range decision.Impossible {
 		c.giveUp(t, id, reason)
 	}
-	t.reasons = decision.Reasons
+	c.emptyDrained(t, view, workers)
 }
 
+// emptyDrained moves tasks off workers that leave or are drained. Batch work and watchers resume from a checkpoint. Of
+// each service one task at a time is stopped, so that the others keep answering.
+func (c *Coordinator) emptyDrained(t *term, view View, workers map[api.WorkerID]WorkerView) {
+	moving := map[string]bool{}
+	for i := range view.Tasks {
+		v := &view.Tasks[i]
+		if v.Kind == api.KindService && (v.Wanted == api.WantedPending || v.Busy || v.Seen == api.SeenStarting) {
+			moving[v.Work] = true
+		}
+	}
+	for i := range view.Tasks {
+		v := &view.Tasks[i]
+		if v.Wanted != api.WantedAssigned || v.Busy || !workers[v.Worker].Drained {
+			continue
+		}
+		if v.Kind != api.KindService {
+			c.reclaim(t, Reclaim{Task: v.ID, Action: runner.ActionEvict, Reason: reasonDrained})
+			continue
+		}
+		if !moving[v.Work] {
+			moving[v.Work] = true
+			c.reclaim(t, Reclaim{Task: v.ID, Action: runner.ActionStop, Reason: reasonDrained})
+		}
+	}
+}
+
+// reasonDrained is the reason of attempts that are moved off a worker.
+const reasonDrained = "the worker leaves or is drained"
+
 func (c *Coordinator) view(t *term, work *api.WorkSet) View {
 	view := View{Now: c.options.Clock.Now(), Work: work}
 	workers, drained := c.options.Cluster.Workers()
@@ -98,7 +132,9 @@
 		claim, owned := c.options.Cluster.Claim(unit)
 		report, reported := t.workers[w.ID]
 		usable := owned && reported && report.Reachable && !report.Leaving && !w.Leaving && !drained[w.ID]
-		view.Workers = append(view.Workers, WorkerView{Worker: w, Unit: unit, Epoch: claim.Epoch, Usable: usable})
+		view.Workers = append(view.Workers, WorkerView{
+			Worker: w, Unit: unit, Epoch: claim.Epoch, Usable: usable, Drained: w.Leaving || report.Leaving || drained[w.ID],
+		})
 	}
 	for _, known := range t.tasks {
 		view.Tasks = append(view.Tasks, TaskView{
@@ -120,6 +156,7 @@
 	row.Worker = w.ID
 	row.Unit = w.Unit
 	row.Epoch = w.Epoch
+	row.Resources = placement.Resources
 	row.Reason = ""
 	known.write(row)
 }
@@ -165,7 +202,7 @@
 		if known.row.Work != work {
 			continue
 		}
-		reason := c.term.reasons[id]
+		reason := c.options.Decider.Reason(id)
 		if reason == "" {
 			reason = known.row.Reason
 		}
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -268,7 +268,7 @@
 type placeAll struct{}
 
 func (placeAll) Decide(view View) Decision {
-	decision := Decision{Reasons: map[api.TaskID]string{}}
+	decision := Decision{}
 	for _, task := range view.Tasks {
 		if task.Wanted != api.WantedPending || task.Busy {
 			continue
@@ -283,5 +283,6 @@
 	return decision
 }
 
-func (placeAll) Observe([]runner.UsageReport)         {}
-func (placeAll) Ended(api.Task, runner.AttemptReport) {}
+func (placeAll) Reason(api.TaskID) string                                       { return "" }
+func (placeAll) Observe(time.Time, []runner.UsageReport)                        {}
+func (placeAll) Ended(time.Time, api.Task, runner.AttemptReport, time.Duration) {}
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -27,7 +27,7 @@
 	if report.Full {
 		t.markUnlisted(report)
 	}
-	c.options.Decider.Observe(report.Usage)
+	c.options.Decider.Observe(c.options.Clock.Now(), report.Usage)
 	return reply, true
 }
 
@@ -98,7 +98,13 @@
 		action = "task-evicted"
 	}
 	known.write(row)
-	c.options.Decider.Ended(known.row, report)
+	now := c.options.Clock.Now()
+	ran := time.Duration(0)
+	if !known.startedAt.IsZero() {
+		ran = now.Sub(known.startedAt)
+	}
+	known.startedAt = time.Time{}
+	c.options.Decider.Ended(now, known.row, report, ran)
 	c.note(action, known.row, report.Reason)
 }
 
