--- a/config/rollout/tabletest/table.go
+++ b/config/rollout/tabletest/table.go
@@ -45,6 +45,13 @@
 	t.faults = f
 }
 
+// ForgetOperations makes the table forget which operations took effect; their rows stay.
+func (t *Table) ForgetOperations() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = map[string]platform.CommitResult{}
+}
+
 // Counts returns the numbers of reads and commits that were asked for.
 func (t *Table) Counts() (reads, commits int) {
 	t.mu.Lock()
