operator: serve validate, diff, apply, files and the state of the fleet

Cause: nothing outside the process could reach the configuration.

Change: Server with chi, bearer token, a body limit of 16 MiB and time-outs; failures go through fault.Describe into {code, message, details}, a conflict carries both edits. Status, explanations, drains and the trail come through interfaces of the package. /livez and /readyz need no token.

Conclusion: apply is usable over HTTP; the parts behind the interfaces are still to be supplied.

--- /dev/null
+++ b/operator/respond.go
@@ -0,0 +1,106 @@
+package operator
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/config"
+	"bronzehook/config/rollout"
+	"bronzehook/fault"
+	"bronzehook/logging"
+)
+
+const contentJSON = "application/json"
+
+// handle turns a function that returns a value or a failure into a handler.
+func (s *Server) handle(serve func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		value, err := serve(r)
+		if err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		s.write(w, http.StatusOK, value)
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", contentJSON)
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		s.options.Logger.Debug().Err(err).Msg("response to an operator was not written")
+	}
+}
+
+// fail sends a failure. The text of an internal failure stays in the log.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	d := fault.Describe(err)
+	body := ErrorResponse{Code: d.Code, Message: err.Error(), Details: detailsOf(err)}
+	if d.Code == fault.CodeInternal {
+		s.options.Logger.Error().Err(err).Str("path", r.URL.Path).Str(logging.KeyReason, string(d.Code)).Msg("operator request failed")
+		body.Message = "internal failure; see the log of the instance"
+	}
+	if d.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.RetryAfter.Seconds()))))
+	}
+	s.write(w, d.Status, body)
+}
+
+func detailsOf(err error) *Details {
+	var conflict *rollout.ConflictError
+	var invalid *config.InvalidError
+	var unavailable *rollout.UnavailableError
+	switch {
+	case errors.As(err, &conflict):
+		return &Details{Conflicts: conflict.Files}
+	case errors.As(err, &invalid):
+		return &Details{Problems: invalid.Problems}
+	case errors.As(err, &unavailable) && unavailable.Uncertain:
+		return &Details{OpID: unavailable.OpID}
+	}
+	return nil
+}
+
+// decodeBody reads the one JSON value of a request.
+func decodeBody(r *http.Request, value any) error {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(value)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.CodeTooLarge, "read body", "body has more than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return fault.New(fault.CodeInvalid, "read body", "%s", err)
+	case decoder.More():
+		return fault.New(fault.CodeInvalid, "read body", "body has more than one JSON value")
+	}
+	return nil
+}
+
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, r, fault.New(fault.CodeNotFound, r.Method+" "+r.URL.Path, "no such path or method"))
+}
+
+func (s *Server) live(w http.ResponseWriter, _ *http.Request) {
+	s.write(w, http.StatusOK, struct {
+		Live bool `json:"live"`
+	}{true})
+}
+
+func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
+	if s.options.Ready != nil {
+		if err := s.options.Ready(); err != nil {
+			s.fail(w, r, err)
+			return
+		}
+	}
+	s.write(w, http.StatusOK, struct {
+		Ready bool `json:"ready"`
+	}{true})
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,186 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"bronzehook/audit"
+	"bronzehook/fault"
+	"bronzehook/logging"
+)
+
+// ServiceName is the service's name in the kernel.
+const ServiceName = "operator"
+
+// Limits of the interface.
+const (
+	// MaxBodyBytes bounds a request body: a whole folder of 8 MiB as JSON text.
+	MaxBodyBytes = 16 << 20
+	// MaxDrain is the longest time of a drain.
+	MaxDrain = 7 * 24 * time.Hour
+
+	maxHeaderBytes    = 16 << 10
+	headerTimeout     = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	requestTimeout    = 15 * time.Second
+	responseTimeout   = requestTimeout + bodyTimeout
+	idleTimeout       = 2 * time.Minute
+	storeProbeTimeout = 2 * time.Second
+)
+
+// Options are the parts that a Server is built from. Metrics and TLS may be left out.
+type Options struct {
+	Addr string
+	// Token is what operators have to send as bearer token; an empty one accepts all.
+	Token    string
+	TLS      *tls.Config
+	Rollout  Rollout
+	Status   StatusSource
+	Explain  Explainer
+	Drains   Drains
+	Trail    Trail
+	Metrics  http.Handler
+	Clock    clockwork.Clock
+	Logger   zerolog.Logger
+	Requires []string
+	// Ready returns why the instance must not get requests, or nil.
+	Ready func() error
+	// Emit hands an event to the audit trail.
+	Emit func(audit.Event)
+}
+
+// Server serves operators. It implements kernel.Service.
+type Server struct {
+	options  Options
+	token    [sha256.Size]byte
+	handler  http.Handler
+	server   *http.Server
+	listener net.Listener
+}
+
+// New returns a server that does not listen yet.
+func New(options Options) *Server {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	s := &Server{options: options, token: sha256.Sum256([]byte(options.Token))}
+	s.handler = s.routes()
+	return s
+}
+
+// Handler returns the handler of all routes.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+func (s *Server) routes() http.Handler {
+	router := chi.NewRouter()
+	router.NotFound(s.notFound)
+	router.MethodNotAllowed(s.notFound)
+	router.Get("/livez", s.live)
+	router.Get("/readyz", s.ready)
+	router.Group(func(r chi.Router) {
+		r.Use(s.authenticate, limitBody, limitTime)
+		if s.options.Metrics != nil {
+			r.Method(http.MethodGet, "/metrics", s.options.Metrics)
+		}
+		r.Post("/v1/validate", s.handle(s.validate))
+		r.Post("/v1/diff", s.handle(s.diff))
+		r.Post("/v1/apply", s.handle(s.apply))
+		r.Get("/v1/files", s.handle(s.files))
+		r.Get("/v1/files/{name}", s.handle(s.file))
+		r.Get("/v1/revision/{n}", s.handle(s.revision))
+		r.Get("/v1/status", s.handle(s.status))
+		r.Get("/v1/explain/{work}", s.handle(s.explain))
+		r.Post("/v1/drain", s.handle(s.drain))
+		r.Post("/v1/undrain", s.handle(s.undrain))
+		r.Get("/v1/audit", s.handle(s.audit))
+	})
+	return router
+}
+
+func (s *Server) authenticate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.options.Token != "" && !s.authorized(r) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			s.fail(w, r, fault.New(fault.CodeUnauthenticated, "authenticate", "the bearer token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// authorized compares digests, so that the time taken tells neither the token nor its length.
+func (s *Server) authorized(r *http.Request) bool {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(token))
+	return found && subtle.ConstantTimeCompare(digest[:], s.token[:]) == 1
+}
+
+func limitBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func limitTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// Name implements kernel.Service.
+func (s *Server) Name() string { return ServiceName }
+
+// Requires implements kernel.Service.
+func (s *Server) Requires() []string { return s.options.Requires }
+
+// Addr returns the address that the server listens on; it is nil before Start.
+func (s *Server) Addr() net.Addr {
+	if s.listener == nil {
+		return nil
+	}
+	return s.listener.Addr()
+}
+
+// Start listens and serves.
+func (s *Server) Start(ctx context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.options.Addr)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	s.listener = listener
+	if s.options.TLS != nil {
+		listener = tls.NewListener(listener, s.options.TLS)
+	}
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		WriteTimeout: responseTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	go s.serve(listener)
+	return nil
+}
+
+func (s *Server) serve(listener net.Listener) {
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.options.Logger.Error().Err(err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("serving operators ended")
+	}
+}
+
+// Stop finishes requests in flight.
+func (s *Server) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	return errors.Wrap(s.server.Shutdown(ctx), "stop serving operators")
+}
