--- a/cmd/bronzehookctl/main.go
+++ b/cmd/bronzehookctl/main.go
@@ -2,12 +2,12 @@
 package main
 
 import (
-	"fmt"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
-	"bronzehook/fault"
+	"bronzehook/ctl"
 )
 
 func main() {
@@ -15,10 +15,13 @@
 }
 
 func run(args []string) int {
-	parser := flags.NewNamedParser("bronzehookctl", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return fault.ExitUsage
-	}
-	return fault.ExitOK
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &ctl.App{Out: os.Stdout, Err: os.Stderr, Terminal: isTerminal(os.Stderr)}
+	return app.Run(ctx, args)
+}
+
+func isTerminal(file *os.File) bool {
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
--- a/config/rollout/service.go
+++ b/config/rollout/service.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -257,20 +259,21 @@
 	return Bundle{Revision: now.Revision, Digest: now.Digest, Author: now.Author, Files: now.Files(), Known: known}, nil
 }
 
-// Statuses returns what each instance has in force, this one included.
+// Statuses returns what each instance has in force, this one included, in the order of their names.
 func (s *Service) Statuses() []InstanceStatus {
 	own := InstanceStatus{ID: s.options.Self, Revision: s.Snapshot().Revision}
 	all := []InstanceStatus{}
 	if s.options.Instances != nil {
 		all = append(all, s.options.Instances.Instances()...)
 	}
-	for i := range all {
-		if all[i].ID == own.ID {
-			all[i].Revision = own.Revision
-			return all
-		}
+	i := slices.IndexFunc(all, func(other InstanceStatus) bool { return other.ID == own.ID })
+	if i < 0 {
+		all = append(all, own)
+	} else {
+		all[i].Revision = own.Revision
 	}
-	return append(all, own)
+	slices.SortFunc(all, func(a, b InstanceStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return all
 }
 
 // Accepted reports whether every instance has the revision in force or has lapsed, and otherwise for whom it waits.
--- a/operator/respond.go
+++ b/operator/respond.go
@@ -40,7 +40,7 @@
 // fail sends a failure. The text of an internal failure stays in the log.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
 	d := fault.Describe(err)
-	body := ErrorResponse{Code: d.Code, Message: err.Error(), Details: detailsOf(err)}
+	body := NewErrorResponse(err)
 	if d.Code == fault.CodeInternal {
 		s.options.Logger.Error().Err(err).Str("path", r.URL.Path).Str(logging.KeyReason, string(d.Code)).Msg("operator request failed")
 		body.Message = "internal failure; see the log of the instance"
@@ -51,6 +51,11 @@
 	s.write(w, d.Status, body)
 }
 
+// NewErrorResponse returns the body that presents a failure.
+func NewErrorResponse(err error) ErrorResponse {
+	return ErrorResponse{Code: fault.CodeOf(err), Message: err.Error(), Details: detailsOf(err)}
+}
+
 func detailsOf(err error) *Details {
 	var conflict *rollout.ConflictError
 	var invalid *config.InvalidError
