config, rollout: report all problems of a nameless file, find late repetitions

Cause: a file without a name hid its other problems; a file with a byte order mark was refused for a missing kind; an operator who repeated a change after more than 64 others got a conflict with their own edit.

Ruled out: a longer config/recent, because it only moves the limit; the rows of the files name the operation that wrote them.

Change: keys are checked once the kind is known; the mark is skipped; findOperation also looks at the rows of the edited files. The test for a misspelt field of an apply passed without the check, because its body had no edits either; it has valid edits now.

Conclusion: repeating an apply under its operation id is safe as long as its files are unchanged since, or for 64 revisions.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -69,9 +69,10 @@
 	return set
 }
 
-// Guards against quantities in the wrong unit and against defaults that go missing.
+// Guards against quantities in the wrong unit, defaults that go missing and files of editors that write a byte order
+// mark and carriage returns.
 func TestQuantities(t *testing.T) {
-	set := mustParse(t, folder("team.yaml", teamFile,
+	set := mustParse(t, folder("team.yaml", "\ufeff"+strings.ReplaceAll(teamFile, "\n", "\r\n"),
 		"job.yaml", "kind: job\nname: index\nteam: web\nurgency: low\ncpu: 250m\nmemory: 1.5GiB\nrunTime: 90m\ndeadline: 4h\n"+
 			"regions: [cornwall]\ncommand: [\"run\", \"2s\", 3]\naccelerators: 1\n"))
 	want := api.Spec{Name: "index", Kind: api.KindJob, Team: "web", Urgency: api.Low, Replicas: 1,
--- a/config/document.go
+++ b/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
 	"unicode/utf8"
 
@@ -10,6 +11,9 @@
 	"github.com/goccy/go-yaml/parser"
 )
 
+// byteOrderMark begins files of some editors; the YAML library takes it for a part of the first key.
+var byteOrderMark = []byte("\ufeff")
+
 // place is a position in a file.
 type place struct {
 	file         string
@@ -54,10 +58,13 @@
 		return nil, problems{*problem}
 	}
 	d := &document{file: file, start: position(file, mapping), fields: map[string]field{}}
-	if !d.readHead(mapping, &found) {
+	complete := d.readHead(mapping, &found)
+	if _, known := schemas[d.kind]; known {
+		d.readFields(mapping, &found)
+	}
+	if !complete {
 		return nil, found
 	}
-	d.readFields(mapping, &found)
 	return d, found
 }
 
@@ -72,7 +79,7 @@
 	if reason := checkNesting(content); reason != "" {
 		return nil, &Problem{File: file, Rule: RuleLimit, Reason: reason}
 	}
-	tree, err := parser.ParseBytes(content, 0)
+	tree, err := parser.ParseBytes(bytes.TrimPrefix(content, byteOrderMark), 0)
 	if err != nil {
 		return nil, syntaxProblem(file, err)
 	}
--- /dev/null
+++ b/config/rollout/load_test.go
@@ -0,0 +1,99 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/config/rollout/tabletest"
+	"bronzehook/platform"
+)
+
+// Guards against acceptance that counts an instance without the revision, or waits for one that has lapsed.
+func TestAccepted(t *testing.T) {
+	s := newService("a", tabletest.New(), nil)
+	s.options.Instances = fakeInstances{{ID: "a"}, {ID: "b", Revision: 1}, {ID: "c", Lapsed: true}, {ID: "d"}}
+	start(t, s)
+	mustRecord(t, s, change("ann", edit("x.yaml", "first", 0)))
+	accepted, waiting := s.Accepted(1)
+	if diff := cmp.Diff([]InstanceStatus{{ID: "d"}}, waiting); accepted || diff != "" {
+		t.Errorf("accepted = %v, waiting (-want +got):\n%s", accepted, diff)
+	}
+	s.options.Instances = fakeInstances{{ID: "d", Revision: 1}}
+	if accepted, _ := s.Accepted(1); !accepted {
+		t.Error("not accepted although all have the revision")
+	}
+}
+
+// Guards against polling that loads the store more than its share: one read for each poll, and changed files only.
+func TestReadsOfTheTable(t *testing.T) {
+	table := tabletest.New()
+	s := start(t, newService("a", table, nil))
+	for i := range 20 {
+		name := string(rune('a' + i))
+		mustRecord(t, s, change("ann", edit(name+".yaml", name, 0)))
+	}
+	follower := newService("b", table, nil)
+	follower.options.PollInterval = time.Hour
+	start(t, follower)
+	mustRecord(t, s, change("ann", edit("a.yaml", "changed", 1)))
+	if err := s.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := table.Counts()
+	follower.refresh(t.Context())
+	changed, _ := table.Counts()
+	follower.refresh(t.Context())
+	idle, _ := table.Counts()
+	if changed-before != 3 || idle-changed != 1 || follower.Snapshot().Revision != 21 {
+		t.Errorf("%d reads for one changed file, %d for an idle poll; want 3 (head, recent, file) and 1", changed-before, idle-changed)
+	}
+}
+
+// Guards against a slow load that puts its older revision in force after a later one.
+func TestOlderSnapshotIsNotPutInForce(t *testing.T) {
+	s := start(t, newService("a", tabletest.New(), nil))
+	mustRecord(t, s, change("ann", edit("x.yaml", "first", 0)))
+	older := s.Snapshot()
+	mustRecord(t, s, change("ann", edit("x.yaml", "second", 1)))
+	s.put(older, FromTable)
+	if got := s.Snapshot().Revision; got != 2 {
+		t.Errorf("revision = %d, want 2", got)
+	}
+}
+
+// hookedTable calls hook once, before the read of a key.
+type hookedTable struct {
+	*tabletest.Table
+	key  string
+	hook func()
+}
+
+func (h *hookedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if hook := h.hook; key == h.key && hook != nil {
+		h.hook = nil
+		hook()
+	}
+	return h.Table.Get(ctx, key)
+}
+
+// Guards against a revision made of files from two: a change is recorded while this instance is between two reads.
+func TestChangeDuringLoad(t *testing.T) {
+	table := tabletest.New()
+	writer := start(t, newService("a", table, nil))
+	mustRecord(t, writer, change("ann", edit("x.yaml", "first", 0)))
+	reader := newService("b", table, nil)
+	hooked := &hookedTable{Table: table, key: KeyRecent, hook: func() {
+		mustRecord(t, writer, change("ann", edit("x.yaml", "second", 1)))
+	}}
+	reader.table.table = hooked
+	if _, err := reader.Latest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now := reader.Snapshot()
+	if now.Revision != 2 || now.Digest != digestFiles(now.Files()) {
+		t.Errorf("revision %d has digest %s, its files have %s", now.Revision, now.Digest, digestFiles(now.Files()))
+	}
+}
--- a/config/rollout/record.go
+++ b/config/rollout/record.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if earlier, err := findOperation(state.recent, change); earlier > 0 || err != nil {
+	if earlier, err := findOperation(state, change); earlier > 0 || err != nil {
 		return earlier, err
 	}
 	base := s.Snapshot()
@@ -180,9 +180,10 @@
 	return nil
 }
 
-// findOperation returns the revision that the change got when its first reply was lost, or 0.
-func findOperation(recent []recentChange, change Change) (uint64, error) {
-	for _, c := range recent {
+// findOperation returns the revision that the change got when its first reply was lost, or 0. The rows of the files
+// still tell after the entry has left config/recent.
+func findOperation(state *recorded, change Change) (uint64, error) {
+	for _, c := range state.recent {
 		if c.OpID != change.OpID {
 			continue
 		}
@@ -191,6 +192,14 @@
 		}
 		return c.Revision, nil
 	}
+	for _, row := range state.rows {
+		if row.Version == 0 || row.OpID != change.OpID {
+			continue
+		}
+		var value fileRow
+		err := decode(row, &value)
+		return value.Revision, err
+	}
 	return 0, nil
 }
 
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -94,7 +94,7 @@
 		{"a longer token must not pass", "GET", "/v1/status", token + "x", "", 401, fault.CodeUnauthenticated},
 		{"metrics name work and need the token", "GET", "/metrics", "", "", 401, fault.CodeUnauthenticated},
 		{"a body that is no JSON", "POST", "/v1/apply", token, "{", 400, fault.CodeInvalid},
-		{"a misspelt field must not be ignored", "POST", "/v1/apply", token, `{"edit":[]}`, 400, fault.CodeInvalid},
+		{"a misspelt field must not be ignored", "POST", "/v1/apply", token, `{"edits":[{"file":"a.yaml","content":"kind: team\nname: web\n"}],"author":"ann","opID2":"x"}`, 400, fault.CodeInvalid},
 		{"an apply without edits", "POST", "/v1/apply", token, `{"edits":[],"author":"ann"}`, 400, fault.CodeInvalid},
 		{"a body without bound", "POST", "/v1/validate", token, `{"edits":[{"file":"` + strings.Repeat("x", MaxBodyBytes) + `"}]}`, 413, fault.CodeTooLarge},
 		{"an unknown file", "GET", "/v1/files/none.yaml", token, "", 404, fault.CodeNotFound},
