config/rollout: test the events of revisions in force

Cause: no test noticed a missing event, though other parts of the process follow the configuration by it.

Ruled out: a test through the audit trail, because the trail does not listen to this topic.

Change: TestEventsOfRevisionsInForce checks the event of the recording instance and of one that follows by the table.

Conclusion: each revision put in force is published once with its source.

--- a/config/rollout/load_test.go
+++ b/config/rollout/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzehook/config/rollout/tabletest"
+	"bronzehook/kernel"
 	"bronzehook/platform"
 )
 
@@ -97,3 +98,31 @@
 		t.Errorf("revision %d has digest %s, its files have %s", now.Revision, now.Digest, digestFiles(now.Files()))
 	}
 }
+
+// Guards against parts of the process that miss a revision, or learn of it with the wrong source.
+func TestEventsOfRevisionsInForce(t *testing.T) {
+	table := tabletest.New()
+	writer, reader := newService("a", table, nil), newService("b", table, nil)
+	events := make(chan InForce, 4)
+	for _, s := range []*Service{writer, reader} {
+		if err := kernel.Subscribe(t.Context(), s.options.Bus, TopicInForce, func(e InForce) { events <- e }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mustRecord(t, writer, change("ann", edit("x.yaml", "first", 0)))
+	reader.refresh(t.Context())
+	digest := reader.Snapshot().Digest
+	for _, want := range []InForce{
+		{Instance: "a", Revision: 1, Author: "ann", Digest: digest, Source: FromRecord},
+		{Instance: "b", Revision: 1, Author: "ann", Digest: digest, Source: FromTable},
+	} {
+		select {
+		case got := <-events:
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("event (-want +got):\n%s", diff)
+			}
+		case <-time.After(testWait):
+			t.Fatal("no event")
+		}
+	}
+}
