Let traffic goroutines send by permits; publish endpoints on change only

Cause: every inventory (one a second and worker) rebuilt the endpoints of all owned racks, and traffic had no way to get a not-after time in the worker's clock without asking the control goroutine.

Change: Permits (immutable entry per worker, authority checked at the last moment); endpoints are compared per worker and published when they differ.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -164,14 +164,14 @@
 	ends := intervention.Action == ActionEvict || intervention.Action == ActionStop
 	if ends {
 		a.stopping = true
-		r.publishEndpoints()
+		r.refreshEndpoints(owned, w)
 	}
 	go func() {
 		checkpoint, err := r.carryOut(owned, w, ref, intervention, a.status.Kind)
 		r.options.Loop.Post(func() {
 			a.stopping = false
 			if r.holds(owned) {
-				r.interventionResult(w, a, intervention, checkpoint, err)
+				r.interventionResult(owned, w, a, intervention, checkpoint, err)
 			}
 		})
 	}()
@@ -211,14 +211,16 @@
 	return w.client.Stop(ctx, ref)
 }
 
-func (r *Runner) interventionResult(w *worker, a *attempt, in Intervention, checkpoint string, err error) {
+func (r *Runner) interventionResult(
+	owned *rack, w *worker, a *attempt, in Intervention, checkpoint string, err error,
+) {
+	defer r.refreshEndpoints(owned, w)
 	if checkpoint != "" && !a.status.State.Ended() {
 		a.status.Checkpoint = checkpoint
 	}
 	if err != nil {
 		r.log.Warn().Str(logging.KeyTask, string(in.Task)).Uint64(logging.KeyAttempt, in.Attempt).
 			Str(logging.KeyWorker, string(w.info.ID)).Str("action", string(in.Action)).Err(err).Msg("intervention failed")
-		r.publishEndpoints()
 		return
 	}
 	r.log.Info().Str(logging.KeyTask, string(in.Task)).Uint64(logging.KeyAttempt, in.Attempt).
@@ -231,5 +233,4 @@
 	if !a.status.State.Ended() {
 		a.end(in.Reason)
 	}
-	r.publishEndpoints()
 }
--- a/runner/report.go
+++ b/runner/report.go
@@ -145,20 +145,38 @@
 	}()
 }
 
+// refreshEndpoints brings the endpoints of one worker up to date and publishes all of them if these have changed.
+func (r *Runner) refreshEndpoints(owned *rack, w *worker) {
+	var own []api.Endpoint
+	if w.fenced && w.unreachableSince.IsZero() {
+		own = r.endpointsOf(owned, w)
+		r.permits.set(owned, w, own)
+	} else {
+		r.permits.remove(w.info.ID)
+	}
+	if slices.Equal(own, w.endpoints) {
+		return
+	}
+	w.endpoints = own
+	r.publishEndpoints()
+}
+
 // publishEndpoints hands out the endpoints of the owned racks, in a fixed order.
 func (r *Runner) publishEndpoints() {
 	var endpoints []api.Endpoint
 	for _, owned := range r.racks {
 		for _, w := range owned.workers {
-			if w.fenced && w.unreachableSince.IsZero() {
-				endpoints = append(endpoints, r.endpointsOf(owned, w)...)
-			}
+			endpoints = append(endpoints, w.endpoints...)
 		}
 	}
-	slices.SortFunc(endpoints, func(a, b api.Endpoint) int { return strings.Compare(string(a.Task), string(b.Task)) })
+	sortEndpoints(endpoints)
 	r.options.EndpointsChanged(endpoints)
 }
 
+func sortEndpoints(endpoints []api.Endpoint) {
+	slices.SortFunc(endpoints, func(a, b api.Endpoint) int { return strings.Compare(string(a.Task), string(b.Task)) })
+}
+
 func (r *Runner) endpointsOf(owned *rack, w *worker) []api.Endpoint {
 	var endpoints []api.Endpoint
 	for task, a := range w.attempts {
@@ -172,5 +190,6 @@
 			Leaving: w.info.Leaving || r.drained[w.info.ID] || a.stopping,
 		})
 	}
+	sortEndpoints(endpoints)
 	return endpoints
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -46,6 +46,8 @@
 	// Lease is how long an attempt may run without a renewal. It is the same on all instances, because a new owner
 	// waits this long before it treats the attempts of an unreachable worker as ended.
 	Lease time.Duration
+	// Hold is the time that authority lasts after its last confirmation.
+	Hold time.Duration
 	// EndpointsChanged is called on the control goroutine whenever the endpoints of owned racks have changed.
 	EndpointsChanged func(endpoints []api.Endpoint)
 }
@@ -79,6 +81,7 @@
 	drained map[api.WorkerID]bool
 	racks   map[api.Unit]*rack
 	slots   *Slots
+	permits *Permits
 	// reachable counts workers that answered their last inventory, for metrics.
 	reachable atomic.Int64
 }
@@ -106,6 +109,7 @@
 		drained: map[api.WorkerID]bool{},
 		racks:   map[api.Unit]*rack{},
 		slots:   NewSlots(),
+		permits: &Permits{now: options.Clock.Now, ownership: options.Ownership, hold: options.Hold},
 	}
 }
 
@@ -131,6 +135,9 @@
 // Slots returns the bookkeeping of requests in flight per worker. It is safe for use by traffic goroutines.
 func (r *Runner) Slots() *Slots { return r.slots }
 
+// Permits returns the permission to send to endpoints. It is safe for use by traffic goroutines.
+func (r *Runner) Permits() *Permits { return r.permits }
+
 // Reachable returns the number of owned workers that answered their last inventory.
 func (r *Runner) Reachable() int64 { return r.reachable.Load() }
 
@@ -147,11 +154,11 @@
 		if known := rack.workers[w.ID]; known != nil {
 			known.info.Leaving = w.Leaving
 			known.info.Addr = w.Addr
+			r.refreshEndpoints(rack, known)
 			continue
 		}
 		r.addWorker(rack, w)
 	}
-	r.publishEndpoints()
 }
 
 // Claimed begins to drive a rack under the epoch. Its workers are fenced before anything is given out.
@@ -179,6 +186,7 @@
 	delete(r.racks, unit)
 	for id := range owned.workers {
 		r.slots.Remove(id)
+		r.permits.remove(id)
 	}
 	r.publishEndpoints()
 	r.log.Info().Str(logging.KeyUnit, unit.Key()).Uint64(logging.KeyEpoch, uint64(owned.epoch)).Msg("rack lost")
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -24,6 +24,8 @@
 	// unreachableSince is zero while the worker answers.
 	unreachableSince time.Time
 	attempts         map[api.TaskID]*attempt
+	// endpoints is what was last published of this worker.
+	endpoints []api.Endpoint
 }
 
 // attempt is what the owner of a rack knows of one attempt.
@@ -121,7 +123,7 @@
 	w.info.Connections = inventory.Worker.Connections
 	r.mergeAttempts(w, inventory, rebooted)
 	r.slots.Set(w.info.ID, owned.epoch, w.info.Slots, w.info.Connections, inventory.OlderRequests)
-	r.publishEndpoints()
+	r.refreshEndpoints(owned, w)
 }
 
 // mergeAttempts brings the known attempts in line with an inventory.
@@ -171,7 +173,7 @@
 	}
 	w.unreachableSince = r.options.Clock.Now()
 	r.log.Warn().Str(logging.KeyWorker, string(w.info.ID)).AnErr(logging.KeyReason, err).Msg("worker unreachable")
-	r.publishEndpoints()
+	r.refreshEndpoints(owned, w)
 }
 
 // expireUnreachable ends the attempts on unreachable workers whose leases have surely run out.
