Relieve workers only of the jobs that cause the pressure

Ruled out: load as a sign of pressure; a full worker whose services do not suffer needs no relief, and lack of processors shows as slowdown.

Change: victims are the jobs whose predicted harm to the services of the worker is at least half of the largest; pressure follows the slowdown alone. The limits HighLoad and LowLoad and the load argument of Tracker.Observe are gone; the cases of the test state slowdowns as before.

--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -120,7 +120,7 @@
 		e.Sizing.ObserveUse(t.Spec, t.Used, now)
 		e.Interference.Observe(t.Spec.Name, t.Slowdown, neighboursOf(t.Spec.Name, names, counts), load)
 	}
-	e.Pressure.Observe(r.Worker, load, worst, now)
+	e.Pressure.Observe(r.Worker, worst, now)
 }
 
 // neighboursOf lists the other tasks on the worker by workload, in the order of the report.
--- a/scheduler/eviction/eviction.go
+++ b/scheduler/eviction/eviction.go
@@ -44,10 +44,10 @@
 	Hysteresis bool
 	// ThrottleShare is the share of its processors that a throttled task keeps.
 	ThrottleShare float64
-	// HighLoad and LowLoad are the shares of a worker's processors at which pressure begins and ends.
-	HighLoad, LowLoad float64
 	// HighSlowdown and LowSlowdown are the slowdowns of latency-critical tasks at which pressure begins and ends.
 	HighSlowdown, LowSlowdown float64
+	// CulpritShare leaves those victims out whose predicted relief is below this share of the largest; 0 leaves out none.
+	CulpritShare float64
 	// HoldFor is how long a worker must be above or below a limit before the state of pressure changes.
 	HoldFor time.Duration
 	// StepInterval is the time between two steps on one worker, which lets a report show the effect of the first.
@@ -65,7 +65,7 @@
 func DefaultOptions() Options {
 	return Options{
 		ForRoom: true, ForPressure: true, Throttle: true, Checkpoint: true, Hysteresis: true,
-		ThrottleShare: 0.4, HighLoad: 0.95, LowLoad: 0.8, HighSlowdown: 1.5, LowSlowdown: 1.2,
+		ThrottleShare: 0.4, HighSlowdown: 1.5, LowSlowdown: 1.2, CulpritShare: 0.5,
 		HoldFor: 15 * time.Second, StepInterval: 15 * time.Second, CheckpointWait: 3 * time.Second,
 		FreshCheckpoint: 15 * time.Second, MaxPerCycle: 4,
 	}
@@ -84,6 +84,8 @@
 	// Slack is the time that the task can lose before it misses its deadline.
 	Slack     time.Duration
 	Throttled bool
+	// Relief is how much the task is predicted to slow down the latency-critical tasks of its worker, taken together.
+	Relief float64
 	// LastStep is the last step that was ordered, SinceStep ago.
 	LastStep  Step
 	SinceStep time.Duration
--- a/scheduler/eviction/pressure.go
+++ b/scheduler/eviction/pressure.go
@@ -30,12 +30,12 @@
 	return &Tracker{opts: opts, workers: map[api.WorkerID]Pressure{}}
 }
 
-// Observe takes a report of a worker: the used share of its processors and the worst slowdown of its latency-critical
-// tasks, 0 if it runs none.
-func (t *Tracker) Observe(worker api.WorkerID, load, slowdown float64, now time.Time) {
+// Observe takes the worst slowdown of the latency-critical tasks in a report of a worker, 0 if it runs none. The load
+// counts only through the slowdown: a worker that is full of batch work without harm stays as it is.
+func (t *Tracker) Observe(worker api.WorkerID, slowdown float64, now time.Time) {
 	p := t.workers[worker]
-	high := slowdown > 0 && (load >= t.opts.HighLoad || slowdown >= t.opts.HighSlowdown)
-	low := load <= t.opts.LowLoad && slowdown <= t.opts.LowSlowdown
+	high := slowdown >= t.opts.HighSlowdown
+	low := slowdown <= t.opts.LowSlowdown
 	contradicts := (p.Active && low) || (!p.Active && high)
 	switch {
 	case !contradicts:
@@ -72,7 +72,7 @@
 	if !p.Active || o.recent(all) {
 		return nil
 	}
-	victims := slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool { return c.Kind != api.KindJob })
+	victims := o.culprits(all)
 	slices.SortFunc(victims, order)
 	if o.Throttle {
 		for i := range victims {
@@ -89,6 +89,20 @@
 	return nil
 }
 
+// culprits returns the jobs that are predicted to cause most of the pressure. Stopping the others would cost work and
+// help nobody.
+func (o *Options) culprits(all []Candidate) []Candidate {
+	largest := 0.0
+	for i := range all {
+		if all[i].Kind == api.KindJob {
+			largest = max(largest, all[i].Relief)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(c Candidate) bool {
+		return c.Kind != api.KindJob || c.Relief < o.CulpritShare*largest
+	})
+}
+
 // recent reports whether a step was taken on the worker less than StepInterval ago. A checkpoint that was asked for is
 // followed by the eviction without that wait.
 func (o *Options) recent(all []Candidate) bool {
--- a/scheduler/yield.go
+++ b/scheduler/yield.go
@@ -195,7 +195,9 @@
 			continue
 		}
 		at := c.cluster.Index(c.s.Workers[i].ID)
-		for _, a := range c.opts.Eviction.Relieve(p, c.candidates(at)) {
+		candidates := c.candidates(at)
+		c.predictRelief(at, candidates)
+		for _, a := range c.opts.Eviction.Relieve(p, candidates) {
 			if a.Step == eviction.StepEvict {
 				evictions++
 			}
@@ -207,3 +209,27 @@
 		}
 	}
 }
+
+// predictRelief fills in what each job on a worker is predicted to cost its latency-critical neighbours. On a worker
+// without spare processors a job also costs them its share of the processors.
+func (c *cycle) predictRelief(at int32, candidates []eviction.Candidate) {
+	n := c.cluster.Worker(at)
+	if n.Capacity.MilliCPU == 0 {
+		return
+	}
+	capacity := float64(n.Capacity.MilliCPU)
+	load := float64(n.Load.MilliCPU) / capacity
+	for i := range candidates {
+		job := &c.s.Tasks[candidates[i].Index]
+		aggressor := c.Interference.ID(job.Work)
+		for j := range candidates {
+			if candidates[j].Kind == api.KindService {
+				victim := c.Interference.ID(c.s.Tasks[candidates[j].Index].Work)
+				candidates[i].Relief += c.Interference.Extra(victim, aggressor, load)
+			}
+		}
+		if load >= 1 {
+			candidates[i].Relief += float64(job.Used.MilliCPU) / capacity
+		}
+	}
+}
