--- a/scheduler/eviction/eviction.go
+++ b/scheduler/eviction/eviction.go
@@ -65,7 +65,7 @@
 func DefaultOptions() Options {
 	return Options{
 		ForRoom: true, ForPressure: true, Throttle: true, Checkpoint: true, Hysteresis: true,
-		ThrottleShare: 0.4, HighSlowdown: 1.5, LowSlowdown: 1.2, CulpritShare: 0.5,
+		ThrottleShare: 0.4, HighSlowdown: 1.8, LowSlowdown: 1.4, CulpritShare: 0.5,
 		HoldFor: 15 * time.Second, StepInterval: 15 * time.Second, CheckpointWait: 3 * time.Second,
 		FreshCheckpoint: 15 * time.Second, MaxPerCycle: 4,
 	}
--- a/scheduler/placement/cluster.go
+++ b/scheduler/placement/cluster.go
@@ -36,7 +36,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Score: true, SampleSize: 16, Spread: true, Interference: true, Pack: true, KeepAccelerators: true,
-		PredictedLoad: true, UrgentReserve: 0.05, MaxSlowdown: 0.25,
+		PredictedLoad: true, UrgentReserve: 0.05, MaxSlowdown: 0.5,
 	}
 }
 
