Reserve processors for jobs without a margin on the quantile

A job that used 85% of its declared processors was booked with 110%: quantile, margin of 15% and rounding to the next bucket added up.

Change: jobs are booked at the 95% quantile; services and watchers keep the margin of 15%, memory keeps its margin for all. The cases with a margin in the test now state a service, and a case for jobs is added.

--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -17,6 +17,9 @@
 	RunTimes bool
 	// CPUQuantile and CPUMargin give the processors: the quantile of the use seen, times the margin.
 	CPUQuantile, CPUMargin float64
+	// JobCPUMargin replaces CPUMargin for jobs. A job that lacks processors for a moment is late by that moment only, so
+	// the quantile is enough.
+	JobCPUMargin float64
 	// MemoryQuantile and MemoryMargin give the memory. They are higher, because memory that is missing ends a task.
 	MemoryQuantile, MemoryMargin float64
 	// RunTimeQuantile and RunTimeMargin give the run time.
@@ -37,7 +40,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Sizes: true, RunTimes: true,
-		CPUQuantile: 0.95, CPUMargin: 1.15,
+		CPUQuantile: 0.95, CPUMargin: 1.15, JobCPUMargin: 1,
 		MemoryQuantile: 0.99, MemoryMargin: 1.2,
 		RunTimeQuantile: 0.7, RunTimeMargin: 1.1,
 		MinReports: 6, MinRuns: 2, HalfLife: 24 * time.Hour, MaxWorks: 1 << 12, ReclaimMargin: 0.1,
@@ -93,7 +96,11 @@
 func (m *Model) Size(spec *api.Spec, floor api.Resources) api.Resources {
 	size := spec.Resources
 	if h := m.known(spec.Name); h != nil && m.opts.Sizes && h.cpu.count >= m.opts.MinReports {
-		cpu := h.cpu.quantile(m.opts.CPUQuantile) * m.opts.CPUMargin
+		margin := m.opts.CPUMargin
+		if spec.Kind == api.KindJob {
+			margin = m.opts.JobCPUMargin
+		}
+		cpu := h.cpu.quantile(m.opts.CPUQuantile) * margin
 		memory := h.memory.quantile(m.opts.MemoryQuantile) * m.opts.MemoryMargin
 		size.MilliCPU = max(minMilliCPU, scale(spec.Resources.MilliCPU, cpu))
 		size.MemoryMB = max(minMemoryMB, scale(spec.Resources.MemoryMB, memory))
--- a/scheduler/sizing/sizing_test.go
+++ b/scheduler/sizing/sizing_test.go
@@ -11,7 +11,9 @@
 var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
 func TestSize(t *testing.T) {
-	spec := &api.Spec{Name: "w", Kind: api.KindJob, Resources: api.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 2}}
+	spec := &api.Spec{Name: "w", Kind: api.KindService, Resources: api.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 2}}
+	job := *spec
+	job.Kind = api.KindJob
 	off := DefaultOptions()
 	off.Sizes = false
 	used := func(cpu, memory int64, reports int) func(*Model) {
@@ -23,25 +25,28 @@
 	}
 	for _, tc := range []struct {
 		name     string
+		spec     *api.Spec
 		opts     Options
 		learn    func(*Model)
 		floor    api.Resources
 		min, max api.Resources
 	}{
-		{"nothing seen keeps what was declared", DefaultOptions(), used(1, 1, 0), api.Resources{}, spec.Resources, spec.Resources},
-		{"few reports keep what was declared", DefaultOptions(), used(200, 200, 5), api.Resources{}, spec.Resources, spec.Resources},
-		{"a size five times too large shrinks with a margin", DefaultOptions(), used(200, 200, 50), api.Resources{},
+		{"nothing seen keeps what was declared", spec, DefaultOptions(), used(1, 1, 0), api.Resources{}, spec.Resources, spec.Resources},
+		{"few reports keep what was declared", spec, DefaultOptions(), used(200, 200, 5), api.Resources{}, spec.Resources, spec.Resources},
+		{"a size five times too large shrinks with a margin", spec, DefaultOptions(), used(200, 200, 50), api.Resources{},
 			api.Resources{MilliCPU: 220, MemoryMB: 230, Accelerators: 2}, api.Resources{MilliCPU: 260, MemoryMB: 270, Accelerators: 2}},
-		{"a size five times too small grows with a margin", DefaultOptions(), used(5000, 5000, 50), api.Resources{},
+		{"a size five times too small grows with a margin", spec, DefaultOptions(), used(5000, 5000, 50), api.Resources{},
 			api.Resources{MilliCPU: 5500, MemoryMB: 5750, Accelerators: 2}, api.Resources{MilliCPU: 6400, MemoryMB: 6700, Accelerators: 2}},
-		{"the size is never below what runs now", DefaultOptions(), used(200, 200, 50), api.Resources{MilliCPU: 700, MemoryMB: 800},
+		{"a job's processors follow the peaks without a further margin", &job, DefaultOptions(), used(5000, 5000, 50), api.Resources{},
+			api.Resources{MilliCPU: 5000, MemoryMB: 5750, Accelerators: 2}, api.Resources{MilliCPU: 5500, MemoryMB: 6700, Accelerators: 2}},
+		{"the size is never below what runs now", spec, DefaultOptions(), used(200, 200, 50), api.Resources{MilliCPU: 700, MemoryMB: 800},
 			api.Resources{MilliCPU: 700, MemoryMB: 800, Accelerators: 2}, api.Resources{MilliCPU: 700, MemoryMB: 800, Accelerators: 2}},
-		{"switched off, the declared size stays", off, used(200, 200, 50), api.Resources{}, spec.Resources, spec.Resources},
+		{"switched off, the declared size stays", spec, off, used(200, 200, 50), api.Resources{}, spec.Resources, spec.Resources},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			m := New(tc.opts)
 			tc.learn(m)
-			got := m.Size(spec, tc.floor)
+			got := m.Size(tc.spec, tc.floor)
 			if !tc.min.Fits(got) || !got.Fits(tc.max) {
 				t.Errorf("size = %s, want from %s to %s", got, tc.min, tc.max)
 			}
