--- /dev/null
+++ b/peer/count.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"bronzehook/fault"
+)
+
+const (
+	// ControlBytesPerSecond is the default budget of control bytes of an instance.
+	ControlBytesPerSecond = 3 << 10
+	// controlBurst lets a whole configuration through at once: at the steady rate a 100 KB pull would take longer than
+	// the 9 s within which a change has to be in force.
+	controlBurst = 1 << 20
+)
+
+// Budget bounds the control bytes of an instance.
+type Budget struct{ limiter *rate.Limiter }
+
+// NewBudget returns a budget with the given steady rate.
+func NewBudget(bytesPerSecond int) *Budget {
+	return &Budget{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), controlBurst)}
+}
+
+// Wait takes bytes from the budget and waits until they are available.
+func (b *Budget) Wait(ctx context.Context, bytes int) error {
+	if b == nil {
+		return nil
+	}
+	if err := b.limiter.WaitN(ctx, min(bytes, controlBurst)); err != nil {
+		return fault.New(fault.CodeOverloaded, "peer budget", "control bytes: %v", err)
+	}
+	return nil
+}
+
+// Take takes bytes without waiting. Heartbeats use it, because a late heartbeat would end authority.
+func (b *Budget) Take(bytes int) {
+	if b != nil {
+		b.limiter.AllowN(now(), min(bytes, controlBurst))
+	}
+}
+
+// Traffic is the number of bytes of messages exchanged with one region for one purpose.
+type Traffic struct {
+	Region  string
+	Purpose Purpose
+	In, Out uint64
+}
+
+type trafficKey struct {
+	region  string
+	purpose Purpose
+}
+
+type counters struct {
+	mu   sync.Mutex
+	rows map[trafficKey]*Traffic
+}
+
+func (c *counters) add(region string, purpose Purpose, in, out int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rows == nil {
+		c.rows = map[trafficKey]*Traffic{}
+	}
+	key := trafficKey{region, purpose}
+	row := c.rows[key]
+	if row == nil {
+		row = &Traffic{Region: region, Purpose: purpose}
+		c.rows[key] = row
+	}
+	row.In += uint64(in)
+	row.Out += uint64(out)
+}
+
+// Traffic returns the bytes so far by region and purpose, ordered by both. They count frames and datagrams without
+// QUIC's own overhead.
+func (t *Transport) Traffic() []Traffic {
+	t.counters.mu.Lock()
+	defer t.counters.mu.Unlock()
+	rows := make([]Traffic, 0, len(t.counters.rows))
+	for _, row := range t.counters.rows {
+		rows = append(rows, *row)
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Region != rows[j].Region {
+			return rows[i].Region < rows[j].Region
+		}
+		return rows[i].Purpose < rows[j].Purpose
+	})
+	return rows
+}
+
+func (t *Transport) count(addr string, purpose Purpose, in, out int) {
+	region := ""
+	if t.config.RegionOf != nil {
+		region = t.config.RegionOf(addr)
+	}
+	t.counters.add(region, purpose, in, out)
+}
+
+// countedStream counts the bytes of a stream as they pass.
+type countedStream struct {
+	stream
+	transport *Transport
+	addr      string
+	purpose   Purpose
+}
+
+func (s *countedStream) Read(p []byte) (int, error) {
+	n, err := s.stream.Read(p)
+	s.transport.count(s.addr, s.purpose, n, 0)
+	return n, err
+}
+
+func (s *countedStream) Write(p []byte) (int, error) {
+	n, err := s.stream.Write(p)
+	s.transport.count(s.addr, s.purpose, 0, n)
+	return n, err
+}
