Add the gateway towards callers

Cause: callers need one HTTP path with outcomes, deadlines, retries within a budget, whole answers and a drain.

Ruled out: streaming answers through, because a truncated answer would already have been begun as a success; the ledger for non-idempotent requests without a key, because nothing can name them a second time and they are sent once; team names of callers as labels, because they are not bounded.

Change: package gateway: parsing, authentication, admission, ledger, routing, dispatch, answers, drain, metrics, entry points for requests forwarded by other instances.

--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bronzehook/api"
+	"bronzehook/dispatch"
+	"bronzehook/fault"
+	"bronzehook/logging"
+)
+
+// reasonNone is the reason of an answered request.
+const reasonNone = "none"
+
+// serve handles one request of a caller.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := g.Clock.Now()
+	if !g.drain.enter() {
+		// The connection is closed, so that the caller's next request goes to another instance.
+		w.Header().Set("Connection", "close")
+		g.writeFailure(w, parsed{}, refuse(fault.CodeStopping, "serve", "the instance stops"), arrived)
+		return
+	}
+	defer g.drain.leave()
+	p, err := g.parse(r, arrived)
+	if err != nil {
+		g.writeFailure(w, p, err, arrived)
+		return
+	}
+	response, err := g.serveParsed(w, r, &p, arrived)
+	if err != nil {
+		g.writeFailure(w, p, err, arrived)
+		return
+	}
+	g.writeAnswer(w, r, p, response, arrived)
+}
+
+func (g *Gateway) serveParsed(w http.ResponseWriter, r *http.Request, p *parsed, arrived time.Time) (dispatch.Response, error) {
+	if err := g.Quotas.Take(p.request.Team, arrived); err != nil {
+		return dispatch.Response{}, err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), p.deadline)
+	defer cancel()
+	free, err := g.readBody(ctx, w, r, p)
+	defer free()
+	if err != nil {
+		return dispatch.Response{}, err
+	}
+	return g.handle(ctx, p.request)
+}
+
+func (g *Gateway) serveNotFound(w http.ResponseWriter, _ *http.Request) {
+	g.writeFailure(w, parsed{}, refuse(fault.CodeNotFound, "serve", "the path names no service"), g.Clock.Now())
+}
+
+// writeAnswer writes the whole answer of an endpoint.
+func (g *Gateway) writeAnswer(w http.ResponseWriter, r *http.Request, p parsed, response dispatch.Response, arrived time.Time) {
+	header := w.Header()
+	for name, values := range endToEnd(response.Header) {
+		header[name] = values
+	}
+	header[api.HeaderOutcome] = []string{string(api.Answered)}
+	header[api.HeaderReason] = []string{reasonNone}
+	if length := response.Header.Get("Content-Length"); r.Method == http.MethodHead && length != "" {
+		header["Content-Length"] = []string{length}
+	} else if bodyAllowed(response.Status) {
+		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
+	}
+	w.WriteHeader(response.Status)
+	_, _ = w.Write(response.Body)
+	g.Metrics.observe(p.request, api.Answered, reasonNone, g.Clock.Since(arrived))
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// failureBody is the body of a response without an answer.
+type failureBody struct {
+	Outcome api.Outcome `json:"outcome"`
+	Reason  fault.Code  `json:"reason"`
+	Detail  string      `json:"detail"`
+}
+
+// writeFailure tells the caller the outcome and the reason.
+func (g *Gateway) writeFailure(w http.ResponseWriter, p parsed, err error, arrived time.Time) {
+	d := fault.Describe(err)
+	outcome := fault.OutcomeOf(err)
+	header := w.Header()
+	header.Set(api.HeaderOutcome, string(outcome))
+	header.Set(api.HeaderReason, string(d.Code))
+	header.Set("Content-Type", "application/json")
+	if d.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(d.Status)
+	_ = json.NewEncoder(w).Encode(failureBody{Outcome: outcome, Reason: d.Code, Detail: err.Error()})
+	g.Metrics.observe(p.request, outcome, string(d.Code), g.Clock.Since(arrived))
+	if outcome == api.Unknown {
+		g.Log.Warn().Err(err).Str(logging.KeyReason, string(d.Code)).Str("service", p.request.Service).Msg("request outcome unknown")
+	}
+}
+
+// idSource makes identifiers of sendings that are unique over instances and restarts.
+type idSource struct {
+	prefix string
+	count  *atomic.Uint64
+}
+
+func newIDSource(self api.InstanceID) idSource {
+	var boot [6]byte
+	_, _ = rand.Read(boot[:])
+	return idSource{prefix: string(self) + "-" + hex.EncodeToString(boot[:]) + "-", count: &atomic.Uint64{}}
+}
+
+func (s idSource) next() string { return s.prefix + strconv.FormatUint(s.count.Add(1), 36) }
