Hold the aims and the table of the replay by tests

Cause: nothing kept the measured state of the aims.

Ruled out: sums of a floor over all workers, which let a worker with spare slots make up for one that gave less than the floor; the baseline seemed to keep every floor that way. Each worker is now compared with its own promise.

Change: Compare replays sites and traces with four replays at a time; a golden table; the aims of the design page as tests.

--- a/replay/measures.go
+++ b/replay/measures.go
@@ -5,6 +5,8 @@
 	"strings"
 	"text/tabwriter"
 
+	"golang.org/x/sync/errgroup"
+
 	"bronzehook/api"
 )
 
@@ -94,11 +96,10 @@
 		Throttles: c.throttles, Checkpoints: c.checkpoints, UrgentStart: c.urgentWait,
 		FailedTries: c.failedTries, Quarantines: c.quarantines, Reported: len(c.reported),
 	}
-	for id, p := range r.pending {
+	for _, p := range r.pending {
 		if p.work.spec.Urgency >= api.High && p.work.spec.Kind == api.KindService {
 			m.UrgentStart = max(m.UrgentStart, r.now-p.since)
 		}
-		_ = id
 	}
 	for _, name := range r.runNames {
 		r.countRun(&m, name)
@@ -125,40 +126,62 @@
 	return !spec.Resources.Fits(largest)
 }
 
-// Table replays the traces of the sites and returns the measures of the decision against those of the baseline.
-func Table(sites []Site, traces []string, seed uint64) (string, error) {
-	var out strings.Builder
-	for _, site := range sites {
-		for _, trace := range traces {
-			if err := section(&out, site, trace, seed); err != nil {
-				return "", err
-			}
+// Comparison holds the measures of one trace on one site.
+type Comparison struct {
+	Site, Trace        string
+	Decision, Baseline Measures
+}
+
+// parallelReplays bounds the replays that run at one time; each is independent of the others.
+const parallelReplays = 4
+
+// Compare replays the traces of the sites with the decision and with the baseline.
+func Compare(sites []Site, traces []string, seed uint64) ([]Comparison, error) {
+	results := make([]Comparison, len(sites)*len(traces))
+	var group errgroup.Group
+	group.SetLimit(parallelReplays)
+	for i := range results {
+		site, trace := sites[i/len(traces)], traces[i%len(traces)]
+		results[i].Site, results[i].Trace = site.Name, trace
+		replayInto := func(m *Measures, policy Policy) {
+			group.Go(func() (err error) {
+				*m, err = Run(site, trace, seed, policy)
+				return err
+			})
 		}
+		replayInto(&results[i].Decision, Decision())
+		replayInto(&results[i].Baseline, Baseline())
 	}
-	return out.String(), nil
+	return results, group.Wait()
 }
 
-func section(out *strings.Builder, site Site, trace string, seed uint64) error {
-	decision, err := Run(site, trace, seed, Decision())
-	if err != nil {
-		return err
-	}
-	baseline, err := Run(site, trace, seed, Baseline())
+// Table replays the traces of the sites and returns the measures of the decision against those of the baseline as text.
+// The same seed gives the same table.
+func Table(sites []Site, traces []string, seed uint64) (string, error) {
+	comparisons, err := Compare(sites, traces, seed)
 	if err != nil {
-		return err
+		return "", err
 	}
-	fmt.Fprintf(out, "%s, %s, seed %d\n", site.Name, trace, seed)
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "measure\tdecision\tbaseline\t")
-	d, b := decision.rows(), baseline.rows()
-	for i := range d {
-		fmt.Fprintf(w, "%s\t%s\t%s\t\n", d[i][0], d[i][1], b[i][1])
-	}
-	if err := w.Flush(); err != nil {
-		return err
+	return Render(comparisons, seed), nil
+}
+
+// Render returns comparisons as text.
+func Render(comparisons []Comparison, seed uint64) string {
+	var out strings.Builder
+	for i := range comparisons {
+		c := &comparisons[i]
+		fmt.Fprintf(&out, "%s, %s, seed %d\n", c.Site, c.Trace, seed)
+		w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(w, "measure\tdecision\tbaseline\t")
+		d, b := c.Decision.rows(), c.Baseline.rows()
+		for row := range d {
+			fmt.Fprintf(w, "%s\t%s\t%s\t\n", d[row][0], d[row][1], b[row][1])
+		}
+		// A strings.Builder reports no errors.
+		_ = w.Flush()
+		out.WriteByte('\n')
 	}
-	out.WriteByte('\n')
-	return nil
+	return out.String()
 }
 
 func (m *Measures) rows() [][2]string {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -3,9 +3,12 @@
 import (
 	"flag"
 	"os"
+	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bronzehook/fault"
 )
 
 var update = flag.Bool("update", false, "write the recorded traces and the golden table anew")
@@ -37,3 +40,131 @@
 		}
 	}
 }
+
+const tableSeed = 1
+
+// compared holds one replay of everything for all tests.
+var compared = sync.OnceValues(func() ([]Comparison, error) { return Compare(Sites(), Traces(), tableSeed) })
+
+// Guards against a change of a decision that nobody measured: the same seed gives the same table.
+func TestTable(t *testing.T) {
+	comparisons, err := compared()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := Render(comparisons, tableSeed)
+	const path = "testdata/table.golden"
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("table (-want +got):\n%s", diff)
+	}
+}
+
+// The bounds are the aims of the design page.
+const (
+	maxOfBaseline      = 0.5
+	minFloodThroughput = 0.95
+	maxFloodP99        = 1.5
+	minFloorKept       = 0.98
+	urgentStartBound   = 8
+	minUrgentAnswered  = 0.99
+)
+
+func TestAims(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		trace string
+		holds func(d, b *Measures) bool
+	}{
+		{"noisy waves make at most half as many runs late as with the baseline", TraceNoisyWaves,
+			func(d, b *Measures) bool { return float64(d.Missed) <= maxOfBaseline*float64(b.Missed) }},
+		{"noisy waves cause at most half of the baseline's evictions", TraceNoisyWaves,
+			func(d, b *Measures) bool { return float64(d.Evictions) <= maxOfBaseline*float64(b.Evictions) }},
+		{"noisy waves leave the p99 of services no worse than the baseline", TraceNoisyWaves,
+			func(d, b *Measures) bool { return d.ServiceP99 <= b.ServiceP99 }},
+		{"a flood of the least urgent leaves urgent work its throughput", TraceFloodLow,
+			func(d, _ *Measures) bool { return d.FloodThroughput >= minFloodThroughput }},
+		{"a flood of the least urgent leaves urgent work its p99", TraceFloodLow,
+			func(d, _ *Measures) bool { return d.FloodP99 <= maxFloodP99 }},
+		{"a flood of the most urgent leaves the others their floors", TraceFloodHigh,
+			func(d, _ *Measures) bool { return d.FloorKept >= minFloorKept }},
+		{"wrong sizes make no more runs late than with the baseline", TraceWrongSizes,
+			func(d, b *Measures) bool { return d.Missed <= b.Missed && d.Kills <= b.Kills }},
+		{"cancellation waves make no more runs late than with the baseline", TraceCancel,
+			func(d, b *Measures) bool { return d.Missed <= b.Missed }},
+		{"exactly the broken workers are quarantined, and jobs that fail everywhere end", TraceBadWorkers,
+			func(d, b *Measures) bool { return d.Quarantines == 4 && d.FailedTries < b.FailedTries/10 }},
+		{"every task that can never run is reported", TraceNeverRun,
+			func(d, _ *Measures) bool { return d.Reported == 36 }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			comparisons, err := compared()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range comparisons {
+				c := &comparisons[i]
+				if c.Trace == tc.trace && !tc.holds(&c.Decision, &c.Baseline) {
+					t.Errorf("%s: decision %+v, baseline %+v", c.Site, c.Decision, c.Baseline)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a trace in which urgent services start late or are left without answers while the fleet copes.
+func TestUrgentServicesAreServedInEveryTrace(t *testing.T) {
+	comparisons, err := compared()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range comparisons {
+		c := &comparisons[i]
+		if c.Decision.UrgentStart > urgentStartBound {
+			t.Errorf("%s, %s: an urgent service task started after %d s", c.Site, c.Trace, c.Decision.UrgentStart)
+		}
+		if c.Trace != TraceFloodHigh && c.Decision.UrgentAnswered < minUrgentAnswered {
+			t.Errorf("%s, %s: %.4f of the urgent requests answered", c.Site, c.Trace, c.Decision.UrgentAnswered)
+		}
+	}
+}
+
+func TestFloorKeeper(t *testing.T) {
+	keeper := FloorKeeper{Floors: DefaultFloors()}
+	const usable = slotsPerWorker * usableShare
+	for _, tc := range []struct {
+		name    string
+		offered [4]float64
+		want    [4]float64
+	}{
+		{"without a flood everything is admitted", [4]float64{1, 1, 1, 1}, [4]float64{1, 1, 1, 1}},
+		{"a flood of the least urgent gets only what others leave", [4]float64{100, 1, 1, 1}, [4]float64{usable - 3, 1, 1, 1}},
+		{"a flood of the most urgent leaves the floors", [4]float64{100, 100, 100, 1000},
+			[4]float64{0.1 * usable, 0.2 * usable, 0.3 * usable, 0.4 * usable}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := keeper.Admit(slotsPerWorker, tc.offered)
+			if diff := cmp.Diff(tc.want, got, cmp.Comparer(func(a, b float64) bool { return a-b < 1e-9 && b-a < 1e-9 })); diff != "" {
+				t.Errorf("admitted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against an unknown trace or a broken file being replayed as an empty one.
+func TestBadTracesAreRefused(t *testing.T) {
+	if _, err := Run(Tentpole(), "no-such-trace", 1, Decision()); !fault.Is(err, fault.CodeNotFound) {
+		t.Errorf("unknown trace: %v", err)
+	}
+	if _, err := Parse([]byte("{\"at\":1}\n{")); !fault.Is(err, fault.CodeInvalid) {
+		t.Errorf("broken line: %v", err)
+	}
+}
--- a/replay/requests.go
+++ b/replay/requests.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// compareFloors sums, for each urgency during a flood, what was given and what its floor promises.
+// compareFloors sums, for each urgency during a flood, what its floor promises on a worker and how much of that was
+// given. What a worker gives beyond the floor does not make up for what another one lacks.
 func (r *replayer) compareFloors(offered, admitted [api.UrgencyCount]float64, model latencyModel) {
 	if r.now < floodStart || r.now >= floodEnd {
 		return
@@ -102,7 +103,8 @@
 	const percent = 100
 	floors := DefaultFloors()
 	for u := range offered {
-		r.c.floors[u].given += admitted[u] / model.overload
-		r.c.floors[u].promised += min(offered[u], slotsPerWorker*usableShare*floors[u]/percent)
+		promised := min(offered[u], slotsPerWorker*usableShare*floors[u]/percent)
+		r.c.floors[u].promised += promised
+		r.c.floors[u].given += min(promised, admitted[u]/model.overload)
 	}
 }
