Revert the try of giving up whole runs

Change: Queue.Shed and Plan.Batch are removed.

Conclusion: slack alone decides the order of batch work.

--- a/replay/policy.go
+++ b/replay/policy.go
@@ -25,7 +25,7 @@
 // are taken as they come.
 func Baseline() Policy {
 	o := scheduler.DefaultOptions()
-	o.Queue.ByUrgency, o.Queue.BySlack, o.Queue.BackOff, o.Queue.ShedRuns = false, false, false, false
+	o.Queue.ByUrgency, o.Queue.BySlack, o.Queue.BackOff = false, false, false
 	o.Queue.AvoidFor = 0
 	o.Feasibility.Enabled = false
 	o.Placement = placement.FirstFit()
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -45,6 +45,5 @@
 		b.reasons[r.Task] = r
 		b.Refused(r.Task, r.Cause, now)
 	}
-	b.Shed(plan.Batch, now)
 	return plan
 }
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -42,7 +42,6 @@
 		c.decide(&pending[i])
 	}
 	c.relieve()
-	c.plan.Batch = c.batchLoad()
 	return c.plan
 }
 
@@ -230,30 +229,3 @@
 		Task: t.ID, Attempt: t.Attempt, Worker: t.Worker, Step: a.Step, Share: a.Share, For: needs, Reason: reason,
 	})
 }
-
-// batchLoad returns what batch work can use of the workers that take tasks, and what running jobs still need.
-func (c *cycle) batchLoad() queue.Load {
-	var load queue.Load
-	for i := range c.s.Workers {
-		if w := &c.s.Workers[i]; closedBy(w) == placement.Open {
-			load.MilliCPU += float64(w.Capacity.MilliCPU)
-		}
-	}
-	load.MilliCPU *= 1 - c.opts.Placement.UrgentReserve
-	runTimes := map[string]float64{}
-	for i := range c.s.Tasks {
-		t := &c.s.Tasks[i]
-		spec := c.s.Specs[t.Work]
-		if spec.Kind != api.KindJob {
-			load.MilliCPU -= float64(t.Resources.MilliCPU)
-			continue
-		}
-		seconds, ok := runTimes[t.Work]
-		if !ok {
-			seconds = c.Sizing.RunTime(&spec).Seconds()
-			runTimes[t.Work] = seconds
-		}
-		load.Committed += float64(t.Resources.MilliCPU) * seconds * (1 - t.Progress)
-	}
-	return load
-}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -21,8 +21,6 @@
 	Evictions   []Eviction
 	Refusals    []Refusal
 	Failures    []Failure
-	// Batch is the batch work that the fleet can do, for Queue.Shed.
-	Batch queue.Load
 }
 
 // Assignment starts the next attempt of a task.
--- a/scheduler/queue/item.go
+++ b/scheduler/queue/item.go
@@ -41,9 +41,6 @@
 	// BySlack orders batch work by slack to the deadline instead of by arrival, and moves work that can no longer meet
 	// its deadline behind work that can.
 	BySlack bool
-	// ShedRuns moves runs that are not expected to meet their deadlines behind the others, every ShedInterval.
-	ShedRuns     bool
-	ShedInterval time.Duration
 	// BackOff holds shapes that could not be placed.
 	BackOff bool
 	// MinBackOff is the first delay of a shape that could not be placed; it doubles with each failed try.
@@ -65,7 +62,7 @@
 // which urgent work has to start.
 func DefaultOptions() Options {
 	return Options{
-		ByUrgency: true, BySlack: true, BackOff: true, ShedRuns: true, ShedInterval: 5 * time.Second,
+		ByUrgency: true, BySlack: true, BackOff: true,
 		MinBackOff: 250 * time.Millisecond, MaxBackOff: 30 * time.Second, MaxUrgentBackOff: time.Second,
 		AvoidFor: 30 * time.Second, NoDeadlineHorizon: 24 * time.Hour, HopelessShare: 0.7,
 	}
@@ -125,8 +122,6 @@
 	readyAt    time.Time
 	avoidUntil []time.Time
 	rejections int
-	// shed is set while the run of the entry is not expected to meet its deadline.
-	shed bool
 }
 
 func (e *entry) before(o *entry) bool {
--- a/scheduler/queue/queue.go
+++ b/scheduler/queue/queue.go
@@ -28,7 +28,6 @@
 	// memory keeps what workers refused after a task has left the queue, since a refusal may come back after Placed.
 	memory map[api.TaskID]rejections
 	expiry []expiry
-	shedAt time.Time
 }
 
 // rejections is what is remembered of the workers that refused one task.
@@ -79,7 +78,7 @@
 		e.item.Avoid, e.avoidUntil, e.rejections = past.avoid, past.until, past.count
 	}
 	if old := q.entries[id]; old != nil {
-		e.seq, e.avoidUntil, e.rejections, e.shed = old.seq, old.avoidUntil, old.rejections, old.shed
+		e.seq, e.avoidUntil, e.rejections = old.seq, old.avoidUntil, old.rejections
 		e.item.Avoid = old.item.Avoid
 		q.forget(old)
 	}
--- a/scheduler/queue/shapes.go
+++ b/scheduler/queue/shapes.go
@@ -35,9 +35,6 @@
 // link puts an entry that is out of the queue into its shape.
 func (q *Queue) link(e *entry) {
 	e.where = placeOnTime
-	if e.shed {
-		e.where = placeLate
-	}
 	q.insert(e)
 }
 
