Use one slot table; fence restarted workers again

Cause: requests in flight were counted twice (runner and dispatch), and a restarted worker, which knows no epoch, was only asked for its inventory and never fenced again.

Ruled out: raising the epoch with any call; an order of an earlier boot would then be judged by the new clock.

Conclusion: the worker's slots have one owner and one count.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	release, err := d.slots.Acquire(ctx, endpoint.Worker)
+	release, err := d.slots.Acquire(ctx, endpoint)
 	if err != nil {
 		return Response{}, err
 	}
--- /dev/null
+++ b/dispatch/slots_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bronzehook/api"
+	"bronzehook/fault"
+)
+
+// Guards against a worker that gets more requests than it has slots, with requests of an earlier owner still open.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	const slots, older, requests = 8, 3, 1000
+	table := NewSlotTable()
+	table.Offer("w1", slots, 64, older)
+	endpoint := api.Endpoint{Worker: "w1", Task: "s.0"}
+	var open, peak atomic.Int64
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			release, err := table.Acquire(t.Context(), endpoint)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			now := open.Add(1)
+			for seen := peak.Load(); now > seen && !peak.CompareAndSwap(seen, now); seen = peak.Load() {
+			}
+			time.Sleep(50 * time.Microsecond)
+			open.Add(-1)
+			release()
+			release()
+		})
+	}
+	wg.Wait()
+	if got := peak.Load(); got != slots-older {
+		t.Errorf("%d requests in flight at one time, want %d", got, slots-older)
+	}
+	if got := table.InUse("w1"); got != 0 {
+		t.Errorf("%d slots in use after all requests", got)
+	}
+}
+
+// Guards against requests that wait for ever, or are sent, when the worker's rack is lost.
+func TestWithdrawnWorkerRefusesWaitingRequests(t *testing.T) {
+	table := NewSlotTable()
+	table.Offer("w1", 1, 64, 0)
+	endpoint := api.Endpoint{Worker: "w1", Task: "s.0"}
+	if _, err := table.Acquire(t.Context(), endpoint); err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, err := table.Acquire(context.Background(), endpoint)
+		result <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	table.Withdraw("w1")
+	if err := <-result; !fault.Is(err, fault.CodeNotOwner) || fault.OutcomeOf(err) != api.NotRun {
+		t.Errorf("waiting request: %v, want not-run with %s", err, fault.CodeNotOwner)
+	}
+	table.Offer("w1", 1, 64, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := table.Acquire(ctx, endpoint); !fault.Is(err, fault.CodeNoCapacity) {
+		t.Errorf("a slot was handed out twice after the worker's return: %v", err)
+	}
+}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,60 @@
+package drain
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"bronzehook/api"
+	"bronzehook/fault"
+	"bronzehook/platform/standin"
+)
+
+func newService(t *testing.T, p *standin.Platform) *Service {
+	ops := 0
+	s := New(Options{
+		Table: p.Table(), Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(),
+		NewOpID: func() string { ops++; return fmt.Sprintf("%p-%d", t, ops) },
+	})
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := s.Stop(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+// Guards against a drain that only the instance asked knows of, that ends with the table's outage, or that never ends.
+func TestDrainReachesOthersSurvivesAnOutageAndExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform(clockwork.NewRealClock())
+		first, second := newService(t, p), newService(t, p)
+		record := Record{Worker: "w1", Expires: time.Now().Add(time.Minute), Author: "ops"}
+		if err := first.Drain(t.Context(), record); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		if !second.Workers()["w1"] {
+			t.Error("the other instance does not know of the drain after 3 s")
+		}
+		p.SetTableFaults(standin.StoreFaults{Down: true})
+		time.Sleep(10 * time.Second)
+		if !second.Workers()["w1"] {
+			t.Error("the drain ended with the outage")
+		}
+		if err := first.Undrain(t.Context(), api.WorkerID("w1")); !fault.Is(err, fault.CodeStoreUnavailable) {
+			t.Errorf("Undrain while the table is down: %v, want %s", err, fault.CodeStoreUnavailable)
+		}
+		time.Sleep(time.Minute)
+		if second.Workers()["w1"] {
+			t.Error("the drain has not expired")
+		}
+	})
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -66,7 +66,9 @@
 		})
 	}
 	table := dispatch.NewSlotTable()
-	table.SetWorkers(workers)
+	for _, w := range workers {
+		table.Offer(w.ID, w.Slots, w.Connections, 0)
+	}
 	client := dispatch.NewClient(dispatch.DefaultClientConfig())
 	tb.Cleanup(client.Close)
 	ledger := dedup.NewService(self.ID, dedup.DefaultConfig(), clock, soleOwner{}, nil)
--- a/runner/fake_test.go
+++ b/runner/fake_test.go
@@ -11,6 +11,7 @@
 
 	"bronzehook/api"
 	"bronzehook/control"
+	"bronzehook/dispatch"
 	"bronzehook/fault"
 	"bronzehook/platform"
 )
@@ -28,6 +29,7 @@
 	renewals    int
 	older       int
 	unreachable bool
+	boot        string
 	loseStart   bool
 }
 
@@ -37,7 +39,7 @@
 			ID: api.WorkerID(id), Location: api.Location{Region: "cornwall", DataCentre: "montego", Rack: "r1"},
 			Capacity: api.Resources{MilliCPU: 4000, MemoryMB: 4096}, Slots: 8, Connections: 64,
 		},
-		booted: time.Now(), tasks: map[api.TaskID]platform.TaskStatus{}, lastAttempt: map[api.TaskID]uint64{},
+		boot: "1", booted: time.Now(), tasks: map[api.TaskID]platform.TaskStatus{}, lastAttempt: map[api.TaskID]uint64{},
 		leaseEnds: map[api.TaskID]time.Duration{},
 	}
 }
@@ -58,7 +60,7 @@
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.booted) }
 
 func (w *fakeWorker) inventory() platform.Inventory {
-	inventory := platform.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: "1", OlderRequests: w.older}
+	inventory := platform.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: w.boot, OlderRequests: w.older}
 	for id, status := range w.tasks {
 		if !status.State.Ended() && w.clock() > w.leaseEnds[id] {
 			status.State = api.SeenStopped
@@ -175,6 +177,7 @@
 	*Runner
 	loop   *control.Loop
 	worker *fakeWorker
+	slots  *dispatch.SlotTable
 
 	mu        sync.Mutex
 	authority bool
@@ -192,12 +195,13 @@
 
 func newHarness(t *testing.T) *harness {
 	clock := clockwork.NewRealClock()
-	h := &harness{loop: control.NewLoop(clock), worker: newFakeWorker("w1"), authority: true}
+	h := &harness{loop: control.NewLoop(clock), worker: newFakeWorker("w1"), authority: true, slots: dispatch.NewSlotTable()}
 	if err := h.loop.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	h.Runner = New(Options{
 		Self: "i1", Clock: clock, Loop: h.loop, Workers: h, Ownership: h, Reporter: h, Logger: zerolog.Nop(),
+		Slots: h.slots, Hold: 5 * time.Second,
 		Lease: testLease, EndpointsChanged: func(endpoints []api.Endpoint) { h.endpoints = endpoints },
 	})
 	if err := h.Runner.Start(t.Context()); err != nil {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -105,7 +105,8 @@
 // any other failure the next inventory tells.
 func (r *Runner) startResult(owned *rack, w *worker, started *attempt, err error) {
 	switch fault.CodeOf(err) {
-	case fault.CodeNoCapacity, fault.CodeExpired, fault.CodeStaleEpoch, fault.CodeNoAuthority, fault.CodeNotOwner:
+	case fault.CodeNoCapacity, fault.CodeExpired, fault.CodeStaleEpoch, fault.CodeNoAuthority, fault.CodeNotOwner,
+		fault.CodeStopping, fault.CodeNotReady:
 		if err == nil || started.seen {
 			break
 		}
@@ -203,7 +204,7 @@
 // stopDrained stops an attempt. An endpoint's requests in flight are given time to finish first.
 func (r *Runner) stopDrained(ctx context.Context, owned *rack, w *worker, ref platform.TaskRef, kind api.Kind) error {
 	if kind == api.KindService {
-		r.slots.WaitIdle(ctx, ref.Task, DrainTime)
+		r.options.Slots.WaitIdle(ctx, w.info.ID, ref.Task, DrainTime)
 	}
 	if _, err := r.options.Ownership.Check(owned.unit); err != nil {
 		return err
--- a/runner/report.go
+++ b/runner/report.go
@@ -100,14 +100,23 @@
 	if !w.fenced || !w.unreachableSince.IsZero() {
 		return
 	}
+	r.ackOnWorker(owned, w, ref, func() {
+		if w.attempts[ref.Task] == a {
+			owned.refused[ref.Task] = max(owned.refused[ref.Task], ref.Attempt)
+			delete(w.attempts, ref.Task)
+		}
+	})
+}
+
+// ackOnWorker lets the worker forget an ended attempt and then calls done on the control goroutine.
+func (r *Runner) ackOnWorker(owned *rack, w *worker, ref Ref, done func()) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		err := w.client.Ack(ctx, platform.TaskRef{Task: ref.Task, Attempt: ref.Attempt, Epoch: owned.epoch})
 		r.options.Loop.Post(func() {
-			if err == nil && r.holds(owned) && w.attempts[ref.Task] == a {
-				owned.refused[ref.Task] = max(owned.refused[ref.Task], ref.Attempt)
-				delete(w.attempts, ref.Task)
+			if err == nil && r.holds(owned) {
+				done()
 			}
 		})
 	}()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,6 +34,15 @@
 	Report(ctx context.Context, report Report) (ReportReply, error)
 }
 
+// Slots bounds the requests in flight towards each worker. It is safe for concurrent use.
+type Slots interface {
+	// Offer states what a worker of an own rack offers, and how many requests of earlier owners are still open there.
+	Offer(worker api.WorkerID, slots, connections, older int)
+	Withdraw(worker api.WorkerID)
+	// WaitIdle waits until no request is in flight towards an endpoint, at most for limit.
+	WaitIdle(ctx context.Context, worker api.WorkerID, task api.TaskID, limit time.Duration)
+}
+
 // Options configures a Runner.
 type Options struct {
 	Self      api.InstanceID
@@ -42,6 +51,7 @@
 	Workers   platform.Workers
 	Ownership Ownership
 	Reporter  Reporter
+	Slots     Slots
 	Logger    zerolog.Logger
 	// Lease is how long an attempt may run without a renewal. It is the same on all instances, because a new owner
 	// waits this long before it treats the attempts of an unreachable worker as ended.
@@ -80,7 +90,6 @@
 	workers map[api.WorkerID]api.Worker
 	drained map[api.WorkerID]bool
 	racks   map[api.Unit]*rack
-	slots   *Slots
 	permits *Permits
 	// reachable counts workers that answered their last inventory, for metrics.
 	reachable atomic.Int64
@@ -108,7 +117,6 @@
 		workers: map[api.WorkerID]api.Worker{},
 		drained: map[api.WorkerID]bool{},
 		racks:   map[api.Unit]*rack{},
-		slots:   NewSlots(),
 		permits: &Permits{now: options.Clock.Now, ownership: options.Ownership, hold: options.Hold},
 	}
 }
@@ -132,9 +140,6 @@
 // Stop implements kernel.Service; the loops end with the control goroutine.
 func (r *Runner) Stop(context.Context) error { return nil }
 
-// Slots returns the bookkeeping of requests in flight per worker. It is safe for use by traffic goroutines.
-func (r *Runner) Slots() *Slots { return r.slots }
-
 // Permits returns the permission to send to endpoints. It is safe for use by traffic goroutines.
 func (r *Runner) Permits() *Permits { return r.permits }
 
@@ -185,7 +190,7 @@
 	}
 	delete(r.racks, unit)
 	for id := range owned.workers {
-		r.slots.Remove(id)
+		r.options.Slots.Withdraw(id)
 		r.permits.remove(id)
 	}
 	r.publishEndpoints()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -1,13 +1,10 @@
 package runner
 
 import (
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"bronzehook/api"
 	"bronzehook/fault"
 )
@@ -178,7 +175,7 @@
 		service.Kind = api.KindService
 		h.apply(t, Orders{Assignments: []Assignment{service}})
 		time.Sleep(2 * PollInterval)
-		release, err := h.Slots().Acquire(api.Endpoint{Worker: "w1", Task: "s.0", Epoch: testEpoch})
+		release, err := h.slots.Acquire(t.Context(), api.Endpoint{Worker: "w1", Task: "s.0"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -201,36 +198,25 @@
 	})
 }
 
-// Guards against a worker that gets more requests than it has slots, with requests of an earlier owner still open.
-func TestSlotsAreNeverExceeded(t *testing.T) {
-	slots := NewSlots()
-	slots.Set("w1", testEpoch, 8, 64, 3)
-	endpoint := api.Endpoint{Worker: "w1", Task: "s.0", Epoch: testEpoch}
-	const attempts = 1000
-	var wg sync.WaitGroup
-	results := make(chan error, attempts)
-	for range attempts {
-		wg.Go(func() {
-			_, err := slots.Acquire(endpoint)
-			results <- err
+// Guards against a restarted worker that is never fenced again and so stays out of use.
+func TestRestartedWorkerIsFencedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.claim(t)
+		h.apply(t, Orders{Assignments: []Assignment{assignment("a.0", 1, 100)}})
+		time.Sleep(2 * PollInterval)
+		h.worker.change(func() {
+			h.worker.epoch = 0
+			h.worker.boot = "2"
+			h.worker.booted = time.Now()
+			clear(h.worker.tasks)
 		})
-	}
-	wg.Wait()
-	close(results)
-	counts := map[fault.Code]int{}
-	for err := range results {
-		if err == nil {
-			counts[""]++
-			continue
-		}
-		counts[fault.CodeOf(err)]++
-	}
-	want := map[fault.Code]int{"": 5, fault.CodeNoCapacity: attempts - 5}
-	if diff := cmp.Diff(want, counts); diff != "" {
-		t.Errorf("results (-want +got):\n%s", diff)
-	}
-	endpoint.Epoch--
-	if _, err := slots.Acquire(endpoint); !fault.Is(err, fault.CodeStaleEpoch) {
-		t.Errorf("Acquire under an old epoch: %v, want %s", err, fault.CodeStaleEpoch)
-	}
+		time.Sleep(4 * PollInterval)
+		if got := h.lastState("a.0"); got != api.SeenStopped {
+			t.Errorf("state of the lost attempt = %q, want %q", got, api.SeenStopped)
+		}
+		if refused := h.apply(t, Orders{Assignments: []Assignment{assignment("a.0", 2, 100)}}); len(refused) > 0 {
+			t.Errorf("refused after the restart: %+v", refused)
+		}
+	})
 }
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -105,6 +105,8 @@
 
 func (r *Runner) applyInventory(owned *rack, w *worker, inventory platform.Inventory, err error, at time.Time) {
 	if err != nil || inventory.Epoch != owned.epoch {
+		// A worker that was restarted knows no epoch; it has to be fenced again before it takes orders.
+		w.fenced = w.fenced && (err != nil || inventory.Epoch > owned.epoch)
 		r.markUnreachable(owned, w, err)
 		return
 	}
@@ -121,17 +123,24 @@
 	w.info.Capacity = inventory.Worker.Capacity
 	w.info.Slots = inventory.Worker.Slots
 	w.info.Connections = inventory.Worker.Connections
-	r.mergeAttempts(w, inventory, rebooted)
-	r.slots.Set(w.info.ID, owned.epoch, w.info.Slots, w.info.Connections, inventory.OlderRequests)
+	for _, ref := range w.merge(inventory, rebooted) {
+		r.ackOnWorker(owned, w, ref, func() {})
+	}
+	r.options.Slots.Offer(w.info.ID, w.info.Slots, w.info.Connections, inventory.OlderRequests)
 	r.refreshEndpoints(owned, w)
 }
 
-// mergeAttempts brings the known attempts in line with an inventory.
-func (r *Runner) mergeAttempts(w *worker, inventory platform.Inventory, rebooted bool) {
+// merge brings the known attempts in line with an inventory. It returns ended attempts that a later attempt of the same
+// task has replaced; the record has moved past them.
+func (w *worker) merge(inventory platform.Inventory, rebooted bool) (replaced []Ref) {
 	listed := map[api.TaskID]bool{}
 	for _, status := range inventory.Tasks {
 		listed[status.Task] = true
 		known := w.attempts[status.Task]
+		if known != nil && status.Attempt < known.status.Attempt {
+			replaced = append(replaced, Ref{Task: status.Task, Attempt: status.Attempt})
+			continue
+		}
 		if known == nil || known.status.Attempt < status.Attempt {
 			known = &attempt{leaseEnd: inventory.Clock + status.LeaseLeft}
 			w.attempts[status.Task] = known
@@ -154,6 +163,7 @@
 		known.end("the worker no longer lists the attempt")
 		known.notStarted = !known.seen && !rebooted
 	}
+	return replaced
 }
 
 // end marks the attempt as stopped without a result.
