Watch the sessions of owners that only the table names

Cause: an owner that died before an instance was started, and that the directory no longer lists, was unknown there, so its units could not lapse.

Ruled out: reading unit rows in membership, which would need to know them.

Change: membership.Track; regions of tracked instances get a (possibly empty) list. The fakes of the platform move to membership/platformfake, so that other packages' tests use them.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -150,6 +150,20 @@
 // Lapsed reports whether an instance may be treated as lapsed.
 func (s *Service) Lapsed(id api.InstanceID) bool { return s.View().Members[id].Lapsed }
 
+// Track has the session row of an instance watched although neither heartbeats nor the directory name it, for example
+// the owner in a unit row that died before this instance was started. The region is used until a better source names one.
+func (s *Service) Track(id api.InstanceID, region string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id == s.config.Self.ID {
+		return
+	}
+	p := s.peer(id)
+	if !p.described {
+		p.instance.Location.Region = region
+	}
+}
+
 // SetLeaving announces a planned stop at once.
 func (s *Service) SetLeaving() {
 	s.leaving.Store(true)
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -13,6 +13,7 @@
 	"bronzehook/api"
 	"bronzehook/authority"
 	"bronzehook/fault"
+	"bronzehook/membership/platformfake"
 	"bronzehook/peer"
 	"bronzehook/platform"
 )
@@ -53,8 +54,8 @@
 type fleet struct {
 	clock     *clockwork.FakeClock
 	net       *fakeNet
-	table     *fakeTable
-	directory *fakeDirectory
+	table     *platformfake.Table
+	directory *platformfake.Directory
 	services  map[api.InstanceID]*Service
 	paused    map[api.InstanceID]bool
 }
@@ -68,14 +69,14 @@
 	f := &fleet{
 		clock:     clockwork.NewFakeClock(),
 		net:       &fakeNet{handlers: map[string]peer.Handler{}, cut: map[string]bool{}},
-		table:     newFakeTable(),
-		directory: &fakeDirectory{},
+		table:     platformfake.NewTable(),
+		directory: &platformfake.Directory{},
 		services:  map[api.InstanceID]*Service{},
 		paused:    map[api.InstanceID]bool{},
 	}
 	for i := range n {
 		self := instance(i)
-		f.directory.entries = append(f.directory.entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
+		f.directory.Entries = append(f.directory.Entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
 		f.start(self, 1)
 	}
 	return f
@@ -121,15 +122,15 @@
 		lapsed bool
 	}{
 		{"nothing fails", func(*fleet) {}, true, false},
-		{"the store being down must not end authority", func(f *fleet) { f.table.down = true }, true, false},
+		{"the store being down must not end authority", func(f *fleet) { f.table.Down = true }, true, false},
 		{"a cut link must not end the authority of an instance that the store hears", func(f *fleet) { f.net.cut[instance(0).Addr] = true }, true, false},
 		{"an instance cut off from peers and store must lose authority and not lapse while rows cannot be read", func(f *fleet) {
-			f.table.down = true
+			f.table.Down = true
 			f.net.cut[instance(0).Addr] = true
 		}, false, false},
 		{"a paused instance must lapse", func(f *fleet) { f.paused[instance(0).ID] = true }, false, true},
 		{"a directory that omits a live instance must not end its authority", func(f *fleet) {
-			f.directory.entries = f.directory.entries[1:]
+			f.directory.Entries = f.directory.Entries[1:]
 		}, true, false},
 	}
 	for _, tc := range cases {
@@ -173,7 +174,7 @@
 // the directory omits it, and a leaving one that still counts as live.
 func TestStatuses(t *testing.T) {
 	f := newFleet(3)
-	f.directory.entries = f.directory.entries[:2]
+	f.directory.Entries = f.directory.Entries[:2]
 	f.run(5)
 	if m := f.at(0).View().Members[instance(2).ID]; m.Status != StatusLive || m.Listed || m.Instance.Location.Region != "cornwall" {
 		t.Errorf("unlisted live instance: %+v", m)
@@ -195,7 +196,7 @@
 func TestSessionRow(t *testing.T) {
 	f := newFleet(1)
 	f.run(3)
-	f.table.loseReplies = 1
+	f.table.LoseReplies = 1
 	f.run(3)
 	if got := f.at(0).Authority(); !got.Anchored || got.Term != 1 {
 		t.Errorf("after a lost reply: %+v", got)
@@ -223,7 +224,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	directory := &fakeDirectory{}
+	directory := &platformfake.Directory{}
 	var filters []*peer.FilterConn
 	var services []*Service
 	for i := range instances {
@@ -243,9 +244,9 @@
 			t.Fatal(err)
 		}
 		self.Addr = transport.Addr()
-		s := New(Config{Self: self, Rule: testRule, Clock: clockwork.NewRealClock(), Table: newFakeTable(), Directory: directory,
+		s := New(Config{Self: self, Rule: testRule, Clock: clockwork.NewRealClock(), Table: platformfake.NewTable(), Directory: directory,
 			Messenger: transport, Revision: func() uint64 { return 1 << 20 }, EndpointVersion: func() uint64 { return 1 << 20 }, Log: zerolog.Nop()})
-		directory.entries = append(directory.entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
+		directory.Entries = append(directory.Entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
 		services = append(services, s)
 		t.Cleanup(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/membership/fake_test.go
+++ b/membership/platformfake/fake.go
@@ -1,4 +1,5 @@
-package membership
+// Package platformfake holds small fakes of the platform interfaces for tests.
+package platformfake
 
 import (
 	"context"
@@ -10,31 +11,39 @@
 	"bronzehook/platform"
 )
 
-// fakeTable is a table in memory with the faults down and reply-lost.
-type fakeTable struct {
+// Table is a table in memory with faults. Its fields are changed only between calls.
+type Table struct {
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	results map[string]platform.CommitResult
-	down    bool
-	// loseReplies is the number of commits that take effect without an answer.
-	loseReplies int
-	reads       int
-	commits     int
+	// Down refuses all calls.
+	Down bool
+	// LoseReplies is the number of commits that take effect without an answer.
+	LoseReplies int
+	// Reads and Commits count the calls.
+	Reads   int
+	Commits int
+	// Replayed counts the commits that were answered with the result of an earlier commit of the same operation.
+	Replayed int
+	// OnWrite sees each row that is written, in order. It may be nil.
+	OnWrite func(row platform.Row)
 }
 
-func newFakeTable() *fakeTable {
-	return &fakeTable{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
 }
 
-func (f *fakeTable) unavailable() error {
+func (f *Table) unavailable() error {
 	return fault.New(fault.CodeStoreUnavailable, "fake table", "down or reply lost")
 }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements platform.Table.
+func (f *Table) Get(_ context.Context, key string) (platform.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
-	if f.down {
+	f.Reads++
+	if f.Down {
 		return platform.Row{}, f.unavailable()
 	}
 	row, ok := f.rows[key]
@@ -44,11 +53,12 @@
 	return row, nil
 }
 
-func (f *fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
+// List implements platform.Table.
+func (f *Table) List(_ context.Context, prefix string) ([]platform.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
-	if f.down {
+	f.Reads++
+	if f.Down {
 		return nil, f.unavailable()
 	}
 	var rows []platform.Row
@@ -61,14 +71,16 @@
 	return rows, nil
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements platform.Table.
+func (f *Table) Commit(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.commits++
-	if f.down {
+	f.Commits++
+	if f.Down {
 		return platform.CommitResult{}, f.unavailable()
 	}
 	if result, ok := f.results[txn.OpID]; ok {
+		f.Replayed++
 		return result, nil
 	}
 	for _, c := range txn.Conditions {
@@ -81,27 +93,31 @@
 		version := f.rows[w.Key].Version + 1
 		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: version, OpID: txn.OpID}
 		result.Versions[w.Key] = version
+		if f.OnWrite != nil {
+			f.OnWrite(f.rows[w.Key])
+		}
 		if w.Delete {
 			delete(f.rows, w.Key)
 			result.Versions[w.Key] = 0
 		}
 	}
 	f.results[txn.OpID] = result
-	if f.loseReplies > 0 {
-		f.loseReplies--
+	if f.LoseReplies > 0 {
+		f.LoseReplies--
 		return platform.CommitResult{}, f.unavailable()
 	}
 	return result, nil
 }
 
-// fakeDirectory lists what the test says.
-type fakeDirectory struct {
+// Directory lists what the test says.
+type Directory struct {
 	mu      sync.Mutex
-	entries []platform.Entry
+	Entries []platform.Entry
 }
 
-func (f *fakeDirectory) List(context.Context) ([]platform.Entry, error) {
+// List implements platform.Directory.
+func (f *Directory) List(context.Context) ([]platform.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.entries), nil
+	return slices.Clone(f.Entries), nil
 }
--- a/membership/session.go
+++ b/membership/session.go
@@ -227,10 +227,10 @@
 func (s *Service) takeDirectory(entries []platform.Entry, now time.Duration) {
 	listed := map[api.InstanceID]api.Instance{}
 	workers := []api.Worker{}
-	// Regions listed before stay in, so that a region that lost its last instance gets an empty list.
+	// Regions of known instances stay in, so that a region that lost its last instance gets an empty list.
 	regions := map[string][]api.InstanceID{s.config.Self.Location.Region: nil}
-	for _, instance := range s.listed {
-		regions[instance.Location.Region] = nil
+	for id, p := range s.peers {
+		regions[s.instanceOf(id, p).Location.Region] = nil
 	}
 	for _, entry := range entries {
 		if entry.Worker != nil {
--- a/membership/view.go
+++ b/membership/view.go
@@ -130,8 +130,8 @@
 
 // instanceOf prefers the instance's own description over the directory's, which lags.
 func (s *Service) instanceOf(id api.InstanceID, p *peerState) api.Instance {
-	instance := s.listed[id]
-	if p.described {
+	instance, listed := s.listed[id]
+	if p.described || !listed {
 		instance = p.instance
 	}
 	instance.ID = id
