--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bronzehook/api"
 	"bronzehook/dispatch"
 	"bronzehook/fault"
@@ -87,7 +89,16 @@
 type failureBody struct {
 	Outcome api.Outcome `json:"outcome"`
 	Reason  fault.Code  `json:"reason"`
-	Detail  string      `json:"detail"`
+	Detail  string      `json:"detail,omitempty"`
+}
+
+// detailOf returns what a caller may read about a failure: addresses of endpoints and instances stay in the log.
+func detailOf(err error) string {
+	var failure *fault.Failure
+	if errors.As(err, &failure) {
+		return failure.Detail
+	}
+	return ""
 }
 
 // writeFailure tells the caller the outcome and the reason.
@@ -102,7 +113,7 @@
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(d.Status)
-	_ = json.NewEncoder(w).Encode(failureBody{Outcome: outcome, Reason: d.Code, Detail: err.Error()})
+	_ = json.NewEncoder(w).Encode(failureBody{Outcome: outcome, Reason: d.Code, Detail: detailOf(err)})
 	g.Metrics.observe(p.request, outcome, string(d.Code), g.Clock.Since(arrived))
 	if outcome == api.Unknown {
 		g.Log.Warn().Err(err).Str(logging.KeyReason, string(d.Code)).Str("service", p.request.Service).Msg("request outcome unknown")
