Keep long requests and refusals whole at the gateway

Cause: by the source of net/http, a ReadTimeout that ends while a request is still handled cancels its context, so requests of more than 30 s would have been refused while they waited; some not-run refusals had no Retry-After; a panic would have kept a slot of admission.

Ruled out: clearing the read deadline per request, which costs every request; the header and the body have bounds of their own.

Change: no ReadTimeout; a default Retry-After of 1 s for not-run refusals with a status above 500 or 429; the grant is freed by defer.

The effect of ReadTimeout was read from the library's source and not run, because it takes 30 s.

Conclusion: every not-run refusal that may be sent again names a time.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -101,6 +101,20 @@
 	return ""
 }
 
+// defaultRetryAfter is told where a request did not run, may be sent again, and no better time is known.
+const defaultRetryAfter = time.Second
+
+func retryAfter(d fault.Description, outcome api.Outcome) time.Duration {
+	if d.RetryAfter > 0 || outcome != api.NotRun {
+		return d.RetryAfter
+	}
+	switch d.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadGateway:
+		return defaultRetryAfter
+	}
+	return 0
+}
+
 // writeFailure tells the caller the outcome and the reason.
 func (g *Gateway) writeFailure(w http.ResponseWriter, p parsed, err error, arrived time.Time) {
 	d := fault.Describe(err)
@@ -109,8 +123,8 @@
 	header.Set(api.HeaderOutcome, string(outcome))
 	header.Set(api.HeaderReason, string(d.Code))
 	header.Set("Content-Type", "application/json")
-	if d.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.RetryAfter.Seconds()))))
+	if retry := retryAfter(d, outcome); retry > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
 	}
 	w.WriteHeader(d.Status)
 	_ = json.NewEncoder(w).Encode(failureBody{Outcome: outcome, Reason: d.Code, Detail: detailOf(err)})
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -18,14 +18,13 @@
 const saturationPoll = 2 * time.Millisecond
 
 // handle admits a parsed request and runs it. ctx carries the caller's deadline.
-func (g *Gateway) handle(ctx context.Context, request dispatch.Request) (dispatch.Response, error) {
+func (g *Gateway) handle(ctx context.Context, request dispatch.Request) (_ dispatch.Response, err error) {
 	grant, err := g.Admission.Admit(ctx, admission.Request{Urgency: request.Urgency, Service: request.Service})
 	if err != nil {
 		return dispatch.Response{}, err
 	}
-	response, err := g.runAdmitted(ctx, request)
-	grant.Done(fault.OutcomeOf(err) != api.NotRun)
-	return response, err
+	defer func() { grant.Done(fault.OutcomeOf(err) != api.NotRun) }()
+	return g.runAdmitted(ctx, request)
 }
 
 // runAdmitted runs an idempotent request with retries, and a non-idempotent one through the ledger. A non-idempotent
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,19 +126,19 @@
 // Limits of the server towards callers.
 const (
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
-	writeSlack        = 30 * time.Second
-	maxHeaderBytes    = 32 << 10
+	// writeSlack is the time for writing an answer that came at the caller's deadline.
+	writeSlack     = 30 * time.Second
+	maxHeaderBytes = 32 << 10
 )
 
-// NewServer returns an HTTP server for the handler with limits on headers and times.
+// NewServer returns an HTTP server for the handler with limits on headers and times. ReadTimeout stays unset: net/http
+// cancels the context of a request that is still handled when it ends. Bodies are read within the caller's deadline.
 func (g *Gateway) NewServer() *http.Server {
 	return &http.Server{
 		Handler:           g.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      readTimeout + g.config.MaxTimeout + writeSlack,
+		WriteTimeout:      g.config.MaxTimeout + writeSlack,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,6 +107,9 @@
 			if got.status != tc.status || got.outcome != tc.outcome || got.reason != string(tc.reason) {
 				t.Errorf("told %+v, want status %d, outcome %s, reason %s", got, tc.status, tc.outcome, tc.reason)
 			}
+			if again := tc.outcome == api.NotRun && tc.status > 500; again != (got.retry != "") {
+				t.Errorf("told %+v: Retry-After belongs to requests that did not run and may be sent again", got)
+			}
 		})
 	}
 }
