Make two gateway tests see what they guard against

Cause: with the retry budget ignored, TestRetryBudgetHoldsWhenAllFail still passed, because ejection kept the failing endpoints from being retried; with a stop that does not wait, only TestStopIsBounded failed.

Ruled out: nothing else; both were found by removing the guarded step.

Change: the budget test runs without ejection and requires that each request was sent; the stop test checks that Stop has not returned while requests are in flight.

Conclusion: both steps are now held by a test.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"bronzehook/api"
 	"bronzehook/dispatch"
 	"bronzehook/fault"
+	"bronzehook/routing/outlier"
 )
 
 type told struct {
@@ -141,7 +142,10 @@
 func TestRetryBudgetHoldsWhenAllFail(t *testing.T) {
 	var sent atomic.Int32
 	fail := func(w http.ResponseWriter, r *http.Request) { sent.Add(1); abort(w, r) }
-	i := newInstance(t, 8, endpoint(t, fail), endpoint(t, fail), endpoint(t, fail), endpoint(t, fail))
+	// Without ejection, which would hide a missing budget: ejected endpoints get nothing at all.
+	health := outlier.DefaultConfig()
+	health.MinRequests = 1 << 30
+	i := newInstanceWith(t, health, 8, endpoint(t, fail), endpoint(t, fail), endpoint(t, fail), endpoint(t, fail))
 	const requests = 400
 	begun := time.Now()
 	for range requests {
@@ -149,7 +153,7 @@
 	}
 	config := admission.DefaultRetryConfig()
 	limit := requests*(1+config.Ratio) + config.Burst + config.PerSecond*time.Since(begun).Seconds() + 1
-	if float64(sent.Load()) > limit {
+	if float64(sent.Load()) > limit || sent.Load() < requests {
 		t.Errorf("%d sendings for %d requests, the budget allows %.0f", sent.Load(), requests, limit)
 	}
 }
@@ -221,6 +225,11 @@
 			t.Fatalf("a new request during the stop: %+v", got)
 		}
 	}
+	select {
+	case err := <-stopped:
+		t.Errorf("the stop ended with requests in flight: %v", err)
+	default:
+	}
 	close(proceed)
 	wait.Wait()
 	if err := <-stopped; err != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -52,6 +52,10 @@
 
 // newInstance starts an instance on loopback with service "s" running at the given addresses, one worker for each.
 func newInstance(tb testing.TB, slots int, addrs ...string) instance {
+	return newInstanceWith(tb, outlier.DefaultConfig(), slots, addrs...)
+}
+
+func newInstanceWith(tb testing.TB, health outlier.Config, slots int, addrs ...string) instance {
 	self := api.Instance{ID: "i1", Location: api.Location{Region: "r", DataCentre: "d"}}
 	clock := clockwork.NewRealClock()
 	in := routing.Input{Self: self, Workers: map[api.WorkerID]api.Worker{}, Costs: routing.DefaultCosts()}
@@ -75,7 +79,7 @@
 	for number := range dedup.ShardsPerRegion {
 		ledger.Own(dedup.Shard{Region: "r", Number: number}, dedup.Tenure{Owner: self.ID, Epoch: 1}, dedup.Tenure{})
 	}
-	trackers := routing.NewTrackers(outlier.DefaultConfig())
+	trackers := routing.NewTrackers(health)
 	snapshot := routing.NewSnapshot(in, trackers)
 	controller := admission.NewController(clock, admission.DefaultConfig(), max(1, snapshot.RegionSlots()), api.Floors{})
 	g := New(DefaultConfig(), Parts{
