Settle before the first claims and speed takeover up

Cause: with real transport, membership and ownership together, (1) the first of three instances that start at once claimed all units, and the others got their share one unit at a time; (2) a hand-over waited up to 5 s for a connection to a successor that had just died; (3) a takeover waited for the polls of session rows and units.

Ruled out: reading session rows more often in the steady state, because the list counts against the control budget; claims without the wait for those who are listed and not heard yet.

Change: free units are claimed once all listed instances were heard or 5 s have passed; the announcement of a hand-over is not waited for; session rows are read every 500 ms while an instance is suspect; a lapse wakes ownership.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -27,6 +27,9 @@
 	heartbeatPeriod = time.Second
 	renewPeriod     = 2 * time.Second
 	pollPeriod      = 2 * time.Second
+	// suspectPollPeriod is the period of reading the session rows while an instance is suspect and has not lapsed. A
+	// period that divides Hold + margin evenly misses it by the duration of one reading and then costs a whole period.
+	suspectPollPeriod = 500 * time.Millisecond
 	// sendTimeout bounds a heartbeat that waits for a connection; the next one is due then.
 	sendTimeout = time.Second
 	// platformTimeout bounds one call to the table or the directory. A slower reply is of no use to authority.
@@ -93,10 +96,13 @@
 	tick       uint64
 	storeUp    bool
 	superseded bool
+	onLapse    []func(api.InstanceID)
 
 	// renewing is held during a renewal, so that the stop does not race with one.
 	renewing sync.Mutex
 	row      sessionState
+	// sessionPolls belongs to the goroutine that reads the session rows.
+	sessionPolls int
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -164,6 +170,14 @@
 	}
 }
 
+// OnLapse registers a function that is called when an instance begins to count as lapsed. It must not block nor call
+// back into the service.
+func (s *Service) OnLapse(call func(id api.InstanceID)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onLapse = append(s.onLapse, call)
+}
+
 // SetLeaving announces a planned stop at once.
 func (s *Service) SetLeaving() {
 	s.leaving.Store(true)
@@ -176,7 +190,7 @@
 	s.cancel = cancel
 	s.every(ctx, pollPeriod, s.pollDirectory)
 	s.every(ctx, renewPeriod, s.renew)
-	s.every(ctx, pollPeriod, s.pollSessions)
+	s.every(ctx, suspectPollPeriod, s.pollSessionsIfDue)
 	s.every(ctx, heartbeatPeriod, func(ctx context.Context) { s.beat(ctx, maxPeersPerTick) })
 	return nil
 }
@@ -220,5 +234,19 @@
 		own.Until = 0
 	}
 	s.own.Store(own)
+	before := s.view.Load()
 	s.view.Store(s.makeView(now))
+	s.notifyLapses(before, s.view.Load())
+}
+
+func (s *Service) notifyLapses(before, after *View) {
+	for id, m := range after.Members {
+		if lapsedAny(m) && !lapsedAny(before.Members[id]) || m.Lapsed && !before.Members[id].Lapsed {
+			for _, call := range s.onLapse {
+				call(id)
+			}
+		}
+	}
 }
+
+func lapsedAny(m Member) bool { return m.Lapsed || m.RowLapsed }
--- a/membership/session.go
+++ b/membership/session.go
@@ -167,6 +167,15 @@
 	return err
 }
 
+// pollSessionsIfDue reads the session rows at every call while an instance is about to lapse, else once a pollPeriod.
+func (s *Service) pollSessionsIfDue(ctx context.Context) {
+	due := s.sessionPolls%int(pollPeriod/suspectPollPeriod) == 0
+	s.sessionPolls++
+	if due || s.View().lapsing() {
+		s.pollSessions(ctx)
+	}
+}
+
 // pollSessions reads all session rows with one call.
 func (s *Service) pollSessions(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/membership/view.go
+++ b/membership/view.go
@@ -71,6 +71,16 @@
 	return ""
 }
 
+// lapsing reports whether an instance is suspect and has not lapsed.
+func (v *View) lapsing() bool {
+	for _, m := range v.Members {
+		if m.Status == StatusSuspect && !m.Lapsed {
+			return true
+		}
+	}
+	return false
+}
+
 // peerState is what is known of another instance apart from the directory.
 type peerState struct {
 	instance  api.Instance
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -53,7 +53,22 @@
 // ready reports whether enough was read to tell a free unit from one whose owner is not known yet.
 func (s *Service) ready() bool {
 	view := s.config.Members.View()
-	return s.read && !s.stale && view.DirectoryRead && view.SessionsRead
+	return s.read && !s.stale && view.DirectoryRead && view.SessionsRead && s.settle(view)
+}
+
+// settle reports whether all listed instances were heard once, or the time for that is over.
+func (s *Service) settle(view *membership.View) bool {
+	if s.settled || s.config.Clock.Since(s.created) >= settleTime {
+		s.settled = true
+		return true
+	}
+	for _, m := range view.Members {
+		if m.Listed && !m.Instance.Leaving && !(m.Heard && m.StoreReachable) {
+			return false
+		}
+	}
+	s.settled = true
+	return true
 }
 
 // decide lists the changes that are due. It reads the state and changes nothing.
--- a/ownership/fleet_test.go
+++ b/ownership/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/fault"
 	"bronzehook/membership"
 	"bronzehook/membership/platformfake"
 	"bronzehook/peer"
@@ -24,6 +26,7 @@
 
 func (f *fakeMembers) View() *membership.View                 { return f.view }
 func (f *fakeMembers) Authority() membership.Authority        { return f.own }
+func (f *fakeMembers) OnLapse(func(api.InstanceID))           {}
 func (f *fakeMembers) Session() uint64                        { return f.session }
 func (f *fakeMembers) Track(id api.InstanceID, region string) { f.tracked[id] = true }
 
@@ -186,3 +189,37 @@
 	}
 	return counts
 }
+
+// gatedTable refuses all calls of one instance while it is cut off.
+type gatedTable struct {
+	*platformfake.Table
+	cut atomic.Bool
+}
+
+func (g *gatedTable) refuse() error {
+	if g.cut.Load() {
+		return fault.New(fault.CodeStoreUnavailable, "gated table", "cut off")
+	}
+	return nil
+}
+
+func (g *gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := g.refuse(); err != nil {
+		return platform.Row{}, err
+	}
+	return g.Table.Get(ctx, key)
+}
+
+func (g *gatedTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := g.refuse(); err != nil {
+		return nil, err
+	}
+	return g.Table.List(ctx, prefix)
+}
+
+func (g *gatedTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+	if err := g.refuse(); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return g.Table.Commit(ctx, txn)
+}
--- a/ownership/handover.go
+++ b/ownership/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"bronzehook/api"
 	"bronzehook/fault"
@@ -11,6 +12,9 @@
 	"bronzehook/peer"
 )
 
+// announceTimeout bounds the wait for a connection to a successor.
+const announceTimeout = time.Second
+
 // Handover tells a successor to read the table.
 type Handover struct {
 	Unit  api.Unit  `cbor:"1,keyasint"`
@@ -109,15 +113,19 @@
 	return nil
 }
 
-// announce is a hint only: a successor that misses it finds the row at its next poll.
+// announce is a hint only and is not waited for: a successor that misses it finds the row at its next poll.
 func (s *Service) announce(ctx context.Context, unit api.Unit, epoch api.Epoch, successor api.Instance) {
 	if s.config.Messenger == nil || successor.Addr == "" {
 		return
 	}
-	message := Handover{Unit: unit, Epoch: epoch}
-	if err := s.config.Messenger.Send(ctx, successor.Addr, peer.KindHandover, message); err != nil {
-		s.config.Log.Debug().Err(err).Str("successor", string(successor.ID)).Msg("hand-over not announced")
-	}
+	s.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+		defer cancel()
+		message := Handover{Unit: unit, Epoch: epoch}
+		if err := s.config.Messenger.Send(ctx, successor.Addr, peer.KindHandover, message); err != nil {
+			s.config.Log.Debug().Err(err).Str("successor", string(successor.ID)).Msg("hand-over not announced")
+		}
+	})
 }
 
 // rebalance hands one unit to the instance that it is assigned to, once the set of live instances has been stable.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -30,6 +30,9 @@
 	// instance, so that a flapping instance moves nothing.
 	rebalanceDelay  = 10 * time.Second
 	platformTimeout = 3 * time.Second
+	// settleTime is the longest wait after the start for heartbeats of all listed instances. Without it the first of
+	// several instances that start together claims everything, and the others get their share one unit at a time.
+	settleTime = 5 * time.Second
 )
 
 // Members is the part of membership.Service that ownership uses.
@@ -38,6 +41,7 @@
 	Authority() membership.Authority
 	Session() uint64
 	Track(id api.InstanceID, region string)
+	OnLapse(call func(id api.InstanceID))
 }
 
 // Messenger is the part of peer.Transport that ownership uses.
@@ -110,6 +114,8 @@
 	pending   *batch
 	releasing map[api.Unit]bool
 	leaving   bool
+	created   time.Time
+	settled   bool
 	live      string
 	liveSince time.Time
 
@@ -121,12 +127,14 @@
 func New(config Config) *Service {
 	s := &Service{
 		config:    config,
+		created:   config.Clock.Now(),
 		wake:      make(chan struct{}, 1),
 		rows:      map[api.Unit]versionedRow{},
 		releasing: map[api.Unit]bool{},
 	}
 	s.view.Store(&View{Units: map[api.Unit]Owner{}})
 	s.held.Store(&map[api.Unit]holding{})
+	config.Members.OnLapse(func(api.InstanceID) { s.Refresh() })
 	if config.Messenger != nil {
 		config.Messenger.Handle(peer.KindHandover, s.handleHandover)
 	}
