--- a/scheduler/queue/item.go
+++ b/scheduler/queue/item.go
@@ -64,7 +64,7 @@
 	return Options{
 		ByUrgency: true, BySlack: true, BackOff: true,
 		MinBackOff: 250 * time.Millisecond, MaxBackOff: 30 * time.Second, MaxUrgentBackOff: time.Second,
-		AvoidFor: 30 * time.Second, NoDeadlineHorizon: 24 * time.Hour, HopelessShare: 0.7,
+		AvoidFor: 30 * time.Second, NoDeadlineHorizon: 24 * time.Hour, HopelessShare: 0.9,
 	}
 }
 
