--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -178,7 +178,7 @@
 func (c *cycle) decide(item *queue.Item) {
 	id := item.Task.ID
 	if c.seen[id] {
-		c.refuse(Refusal{Task: id, Cause: queue.CauseCapacity, Reason: "an attempt of the task has not ended"})
+		c.refuse(Refusal{Task: id, Cause: queue.CauseRunning, Reason: "an attempt of the task has not ended"})
 		return
 	}
 	if reason, giveUp := c.Quarantine.GiveUp(&item.Task); giveUp {
--- a/scheduler/cycle_test.go
+++ b/scheduler/cycle_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzehook/api"
+	"bronzehook/fault"
 	"bronzehook/scheduler/eviction"
 	"bronzehook/scheduler/queue"
 )
@@ -163,3 +164,27 @@
 	}
 	s.Tasks = kept
 }
+
+// Guards against a new coordinator that has to learn everything anew although the object store has it.
+func TestRestoreKeepsWhatWasLearned(t *testing.T) {
+	s := fleetSnapshot(50)
+	taught := taughtEngine(s)
+	data, err := taught.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := New(DefaultOptions(), 7)
+	if err := fresh.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	items := pendingItems(taught, s, 60)
+	if diff := cmp.Diff(items, pendingItems(fresh, s, 60)); diff != "" {
+		t.Errorf("sizes and run times (-taught +restored):\n%s", diff)
+	}
+	if diff := cmp.Diff(taught.Cycle(s, items, start), fresh.Cycle(s, items, start)); diff != "" {
+		t.Errorf("plan (-taught +restored):\n%s", diff)
+	}
+	if err := fresh.Restore([]byte("no CBOR")); !fault.Is(err, fault.CodeInvalid) {
+		t.Errorf("restore of other bytes: %v, want code %s", err, fault.CodeInvalid)
+	}
+}
--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -23,8 +23,9 @@
 }
 
 func drawWorld(t *rapid.T) *world {
-	w := &world{t: t, e: New(DefaultOptions(), 3), records: map[api.TaskID]api.Task{}, now: start}
-	w.backlog = NewBacklog(DefaultOptions().Queue)
+	opts := drawOptions(t)
+	w := &world{t: t, e: New(opts, 3), records: map[api.TaskID]api.Task{}, now: start}
+	w.backlog = NewBacklog(opts.Queue)
 	w.s.Specs, w.s.Teams = map[string]api.Spec{}, map[string]api.Team{}
 	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
 		w.s.Workers = append(w.s.Workers, Worker{
@@ -59,6 +60,22 @@
 	return w
 }
 
+// drawOptions switches policies off, each by itself, since the bounds may not depend on any of them.
+func drawOptions(t *rapid.T) Options {
+	o := DefaultOptions()
+	switches := []*bool{
+		&o.Queue.ByUrgency, &o.Queue.BySlack, &o.Queue.BackOff, &o.Feasibility.Enabled, &o.Placement.Score,
+		&o.Placement.Spread, &o.Placement.Interference, &o.Placement.Pack, &o.Placement.KeepAccelerators,
+		&o.Placement.PredictedLoad, &o.Interference.Enabled, &o.Sizing.Sizes, &o.Sizing.RunTimes, &o.Eviction.ForRoom,
+		&o.Eviction.ForPressure, &o.Eviction.Throttle, &o.Eviction.Checkpoint, &o.Eviction.Hysteresis,
+		&o.Quarantine.Workers, &o.Quarantine.Works,
+	}
+	for _, on := range switches {
+		*on = rapid.IntRange(0, 7).Draw(t, "off") != 0
+	}
+	return o
+}
+
 func drawResources(t *rapid.T, cpu, memory, accelerators int64) api.Resources {
 	return api.Resources{
 		MilliCPU:     rapid.Int64Range(100, cpu).Draw(t, "cpu"),
--- a/scheduler/queue/item.go
+++ b/scheduler/queue/item.go
@@ -32,6 +32,8 @@
 	CauseQuota
 	// CauseInfeasible means that no worker of the fleet can ever run the task.
 	CauseInfeasible
+	// CauseRunning means that an attempt of the task has not ended. It holds up this task alone.
+	CauseRunning
 )
 
 // Options switches the parts of the order; each can be off alone.
--- a/scheduler/queue/queue.go
+++ b/scheduler/queue/queue.go
@@ -114,6 +114,10 @@
 	if e == nil || e.where != placeOut {
 		return
 	}
+	if cause == CauseRunning {
+		q.delay(e, now.Add(q.opts.MinBackOff))
+		return
+	}
 	if len(e.item.Avoid) > 0 {
 		e.rejections++
 		q.delay(e, now.Add(q.retryDelay(e)))
--- a/scheduler/queue/queue_test.go
+++ b/scheduler/queue/queue_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// Guards against a task whose last attempt has not ended holding up tasks of the same shape.
+func TestRunningTaskHoldsUpItselfAlone(t *testing.T) {
+	q := New(DefaultOptions())
+	for i := range 2 {
+		it := job("w", api.Normal, 0, 0)
+		it.Task.ID = api.NewTaskID("w", i)
+		q.Add(it)
+	}
+	q.Ready(start, 1)
+	q.Refused("w.0", CauseRunning, start)
+	if diff := cmp.Diff([]string{"w.1"}, names(q.Ready(start, 10))); diff != "" {
+		t.Errorf("ready (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"w.0"}, names(q.Ready(start.Add(DefaultOptions().MinBackOff), 10))); diff != "" {
+		t.Errorf("ready after the delay (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against back-off keeping urgent work from starting within 8.7 s of the moment at which room appears.
 func TestUrgentBackOffLeavesTimeToStart(t *testing.T) {
 	const startBound = 8700 * time.Millisecond
