Draw pressure, quarantine and usage in the property test

Cause: the property test never reached the relief of pressure or the learned models.

Ruled out: nothing.

Change: each step draws the pressure and quarantine of every worker and reports a measured use and slowdown for every running task.

--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -10,6 +10,7 @@
 	"bronzehook/api"
 	"bronzehook/scheduler/eviction"
 	"bronzehook/scheduler/feasibility"
+	"bronzehook/scheduler/quarantine"
 )
 
 // world applies plans as the rest of the system would, and checks them.
@@ -89,6 +90,7 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(w.t, "seconds")) * time.Second)
 	w.s.Revision++
 	w.endSome()
+	w.report()
 	plan := w.backlog.Run(w.e, &w.s, w.now, 100)
 	for _, a := range plan.Assignments {
 		w.assign(a)
@@ -99,6 +101,36 @@
 	}
 }
 
+// report gives every worker some pressure and every task some measured use.
+func (w *world) report() {
+	for i := range w.s.Workers {
+		w.s.Workers[i].Pressure = eviction.Pressure{
+			Active: rapid.IntRange(0, 2).Draw(w.t, "pressure") == 0, Calm: rapid.IntRange(0, 2).Draw(w.t, "calm") == 0,
+		}
+		w.s.Workers[i].Quarantine = quarantine.State{
+			Quarantined: rapid.IntRange(0, 9).Draw(w.t, "quarantined") == 0, Probe: rapid.Bool().Draw(w.t, "probe"),
+		}
+	}
+	byWorker := map[api.WorkerID]*Report{}
+	for i := range w.s.Tasks {
+		t := &w.s.Tasks[i]
+		spec := w.s.Specs[t.Work]
+		t.Measured, t.Used = true, drawResources(w.t, 6000, 6000, 1)
+		if byWorker[t.Worker] == nil {
+			byWorker[t.Worker] = &Report{Worker: t.Worker, Capacity: api.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+		}
+		slowdown := rapid.Float64Range(0, 5).Draw(w.t, "slowdown")
+		r := byWorker[t.Worker]
+		r.Used = r.Used.Add(t.Used)
+		r.Tasks = append(r.Tasks, TaskReport{Spec: &spec, Used: t.Used, Slowdown: slowdown})
+	}
+	for _, worker := range w.s.Workers {
+		if r := byWorker[worker.ID]; r != nil {
+			w.e.ObserveReport(r, w.now)
+		}
+	}
+}
+
 func (w *world) assign(a Assignment) {
 	for i := range w.s.Tasks {
 		if w.s.Tasks[i].ID == a.Task {
