--- a/scheduler/property_test.go
+++ b/scheduler/property_test.go
@@ -10,6 +10,7 @@
 	"bronzehook/api"
 	"bronzehook/scheduler/eviction"
 	"bronzehook/scheduler/feasibility"
+	"bronzehook/scheduler/quarantine"
 )
 
 // world applies plans as the rest of the system would, and checks them.
@@ -23,8 +24,9 @@
 }
 
 func drawWorld(t *rapid.T) *world {
-	w := &world{t: t, e: New(DefaultOptions(), 3), records: map[api.TaskID]api.Task{}, now: start}
-	w.backlog = NewBacklog(DefaultOptions().Queue)
+	opts := drawOptions(t)
+	w := &world{t: t, e: New(opts, 3), records: map[api.TaskID]api.Task{}, now: start}
+	w.backlog = NewBacklog(opts.Queue)
 	w.s.Specs, w.s.Teams = map[string]api.Spec{}, map[string]api.Team{}
 	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
 		w.s.Workers = append(w.s.Workers, Worker{
@@ -59,6 +61,22 @@
 	return w
 }
 
+// drawOptions switches policies off, each by itself, since the bounds may not depend on any of them.
+func drawOptions(t *rapid.T) Options {
+	o := DefaultOptions()
+	switches := []*bool{
+		&o.Queue.ByUrgency, &o.Queue.BySlack, &o.Queue.BackOff, &o.Feasibility.Enabled, &o.Placement.Score,
+		&o.Placement.Spread, &o.Placement.Interference, &o.Placement.Pack, &o.Placement.KeepAccelerators,
+		&o.Placement.PredictedLoad, &o.Interference.Enabled, &o.Sizing.Sizes, &o.Sizing.RunTimes, &o.Eviction.ForRoom,
+		&o.Eviction.ForPressure, &o.Eviction.Throttle, &o.Eviction.Checkpoint, &o.Eviction.Hysteresis,
+		&o.Quarantine.Workers, &o.Quarantine.Works,
+	}
+	for _, on := range switches {
+		*on = rapid.IntRange(0, 7).Draw(t, "off") != 0
+	}
+	return o
+}
+
 func drawResources(t *rapid.T, cpu, memory, accelerators int64) api.Resources {
 	return api.Resources{
 		MilliCPU:     rapid.Int64Range(100, cpu).Draw(t, "cpu"),
@@ -72,6 +90,7 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(w.t, "seconds")) * time.Second)
 	w.s.Revision++
 	w.endSome()
+	w.report()
 	plan := w.backlog.Run(w.e, &w.s, w.now, 100)
 	for _, a := range plan.Assignments {
 		w.assign(a)
@@ -82,6 +101,36 @@
 	}
 }
 
+// report gives every worker some pressure and every task some measured use.
+func (w *world) report() {
+	for i := range w.s.Workers {
+		w.s.Workers[i].Pressure = eviction.Pressure{
+			Active: rapid.IntRange(0, 2).Draw(w.t, "pressure") == 0, Calm: rapid.IntRange(0, 2).Draw(w.t, "calm") == 0,
+		}
+		w.s.Workers[i].Quarantine = quarantine.State{
+			Quarantined: rapid.IntRange(0, 9).Draw(w.t, "quarantined") == 0, Probe: rapid.Bool().Draw(w.t, "probe"),
+		}
+	}
+	byWorker := map[api.WorkerID]*Report{}
+	for i := range w.s.Tasks {
+		t := &w.s.Tasks[i]
+		spec := w.s.Specs[t.Work]
+		t.Measured, t.Used = true, drawResources(w.t, 6000, 6000, 1)
+		if byWorker[t.Worker] == nil {
+			byWorker[t.Worker] = &Report{Worker: t.Worker, Capacity: api.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+		}
+		slowdown := rapid.Float64Range(0, 5).Draw(w.t, "slowdown")
+		r := byWorker[t.Worker]
+		r.Used = r.Used.Add(t.Used)
+		r.Tasks = append(r.Tasks, TaskReport{Spec: &spec, Used: t.Used, Slowdown: slowdown})
+	}
+	for _, worker := range w.s.Workers {
+		if r := byWorker[worker.ID]; r != nil {
+			w.e.ObserveReport(r, w.now)
+		}
+	}
+}
+
 func (w *world) assign(a Assignment) {
 	for i := range w.s.Tasks {
 		if w.s.Tasks[i].ID == a.Task {
--- a/scheduler/queue/item.go
+++ b/scheduler/queue/item.go
@@ -32,6 +32,8 @@
 	CauseQuota
 	// CauseInfeasible means that no worker of the fleet can ever run the task.
 	CauseInfeasible
+	// CauseRunning means that an attempt of the task has not ended. It holds up this task alone.
+	CauseRunning
 )
 
 // Options switches the parts of the order; each can be off alone.
@@ -64,7 +66,7 @@
 	return Options{
 		ByUrgency: true, BySlack: true, BackOff: true,
 		MinBackOff: 250 * time.Millisecond, MaxBackOff: 30 * time.Second, MaxUrgentBackOff: time.Second,
-		AvoidFor: 30 * time.Second, NoDeadlineHorizon: 24 * time.Hour, HopelessShare: 0.7,
+		AvoidFor: 30 * time.Second, NoDeadlineHorizon: 24 * time.Hour, HopelessShare: 0.9,
 	}
 }
 
