--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -3,17 +3,21 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"bronzehook/api"
 	"bronzehook/fault"
-	"bronzehook/kernel"
+	"bronzehook/instance"
 	"bronzehook/logging"
+	"bronzehook/platform/httpplatform"
 	"bronzehook/settings"
 )
 
@@ -32,7 +36,7 @@
 	}
 	logger := logging.New(os.Stderr, level).With().Str(logging.KeyInstance, s.ID).Logger()
 	if err := serve(s, logger); err != nil {
-		logger.Error().Err(err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance stopped with a failure")
+		logger.Error().Err(err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance ended with a failure")
 		return fault.Describe(err).Exit
 	}
 	return fault.ExitOK
@@ -48,16 +52,66 @@
 	return fault.Describe(err).Exit
 }
 
+// serve runs the instance until the first signal, then stops it gracefully. A second signal ends the process at once.
 func serve(s *settings.Settings, logger zerolog.Logger) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	k := kernel.New(kernel.NewBus())
-	if err := k.Start(context.Background()); err != nil {
+	platformURL := s.PlatformURL
+	if s.Dev {
+		site, err := startDevSite(s)
+		if err != nil {
+			return err
+		}
+		defer site.Close()
+		platformURL = site.URL
+	}
+	options, err := optionsOf(s, platformURL, logger)
+	if err != nil {
+		return err
+	}
+	node := instance.New(options)
+	if err := node.Start(context.Background()); err != nil {
 		return err
 	}
-	logger.Info().Msg("instance started")
+	logger.Info().Str("callers", node.CallerAddr()).Str("operators", node.OperatorAddr()).Msg("instance started")
+	if s.Dev {
+		printDevHelp(os.Stdout, node.CallerAddr(), node.OperatorAddr(), platformURL)
+	}
 	<-signals
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopTimeout)
 	defer cancel()
-	return k.Stop(ctx)
+	go func() {
+		<-signals
+		logger.Warn().Msg("second signal, stop cut short")
+		cancel()
+	}()
+	return node.Stop(ctx)
+}
+
+func selfOf(s *settings.Settings) api.Instance {
+	return api.Instance{
+		ID: api.InstanceID(s.ID), Addr: s.PeerAddr, Location: api.Location{Region: s.Region, DataCentre: s.DataCentre},
+	}
+}
+
+func optionsOf(s *settings.Settings, platformURL string, logger zerolog.Logger) (instance.Options, error) {
+	client := httpplatform.New(platformURL, nil, httpplatform.DefaultTimeout)
+	options := instance.Options{
+		Self: selfOf(s), Regions: s.Regions, CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr,
+		OperatorToken: s.OperatorToken, Table: client.Table(), Objects: client.Objects(), Directory: client.Directory(),
+		Workers: httpplatform.NewWorkers(nil, httpplatform.DefaultTimeout), Clock: clockwork.NewRealClock(), Logger: logger,
+		Hold: s.Hold, TaskLease: s.TaskLease, StopTimeout: s.StopTimeout,
+	}
+	var err error
+	if options.PeerTLS, err = peerTLS(s); err != nil {
+		return options, err
+	}
+	if s.CallerCert != "" {
+		certificate, err := tls.LoadX509KeyPair(s.CallerCert, s.CallerKey)
+		if err != nil {
+			return options, unreadable("caller-cert", s.CallerCert, err)
+		}
+		options.CallerTLS = &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	}
+	return options, nil
 }
--- a/cmd/bronzehookctl/main.go
+++ b/cmd/bronzehookctl/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"os/user"
 	"syscall"
 
 	"bronzehook/ctl"
@@ -17,10 +18,18 @@
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	app := &ctl.App{Out: os.Stdout, Err: os.Stderr, Terminal: isTerminal(os.Stderr)}
+	app := &ctl.App{Out: os.Stdout, Err: os.Stderr, Terminal: isTerminal(os.Stderr), DefaultAuthor: accountName()}
 	return app.Run(ctx, args)
 }
 
+func accountName() string {
+	account, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return account.Username
+}
+
 func isTerminal(file *os.File) bool {
 	info, err := file.Stat()
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -27,6 +27,8 @@
 	HTTP *http.Client
 	// Measurer supplies the table of the verb measure; nil means that this build has none.
 	Measurer Measurer
+	// DefaultAuthor is the author of changes where no option names one.
+	DefaultAuthor string
 
 	global globalOptions
 	ctx    context.Context
@@ -53,7 +55,7 @@
 	URLs    []string      `long:"operator-url" env:"BRONZEHOOK_OPERATOR_URL" env-delim:"," default:"http://127.0.0.1:8081" description:"base URL of an instance for operators; may be given several times, or separated by commas in the variable: the next one is tried if one cannot be reached"`
 	Token   string        `long:"operator-token" env:"BRONZEHOOK_OPERATOR_TOKEN" description:"bearer token for the instances"`
 	CA      string        `long:"operator-ca" env:"BRONZEHOOK_OPERATOR_CA" description:"PEM file with the authorities of the instances' certificates; empty means those of the machine"`
-	Author  string        `long:"author" env:"BRONZEHOOK_OPERATOR_AUTHOR" description:"name of the operator, kept with each change"`
+	Author  string        `long:"author" env:"BRONZEHOOK_OPERATOR_AUTHOR" description:"name of the operator, kept with each change; the name of the account by default"`
 	Output  string        `long:"output" env:"BRONZEHOOK_OUTPUT" default:"text" choice:"text" choice:"json" description:"text for people, json for programs"`
 	Timeout time.Duration `long:"timeout" env:"BRONZEHOOK_OPERATOR_TIMEOUT" default:"20s" description:"longest wait for the answer to one request"`
 }
@@ -141,6 +143,9 @@
 
 // requireAuthor refuses changes that nobody answers for.
 func (a *App) requireAuthor() error {
+	if a.global.Author == "" {
+		a.global.Author = a.DefaultAuthor
+	}
 	if a.global.Author == "" {
 		return fault.New(fault.CodeInvalid, "read arguments", "--author or BRONZEHOOK_OPERATOR_AUTHOR is required for changes")
 	}
--- a/dedup/service.go
+++ b/dedup/service.go
@@ -151,11 +151,11 @@
 	for {
 		state := s.owned(shard)
 		if state == nil {
-			return Answer{}, notRun(fault.CodeNotOwner, "ledger", "this instance does not own the key's shard")
+			return Answer{}, undecided(call, notRun(fault.CodeNotOwner, "ledger", "this instance does not own the key's shard"))
 		}
 		begun, err := state.begin(s.clock.Now(), call)
 		if err != nil {
-			return Answer{}, fault.NotRun(err)
+			return Answer{}, undecided(call, fault.NotRun(err))
 		}
 		switch begun.decision {
 		case DecideRun:
@@ -173,6 +173,14 @@
 	}
 }
 
+// undecided is the failure of an attempt that the ledger did not decide on. Only a first attempt provably did not run.
+func undecided(call Call, err error) error {
+	if call.Attempt == 1 {
+		return err
+	}
+	return fault.Unknown(err)
+}
+
 // runRecorded takes a recorded run through replication, the check of authority and the sending.
 func (s *Service) runRecorded(ctx context.Context, state *shardState, b begun, run Run) (Answer, error) {
 	if err := s.prepare(ctx, state, b); err != nil {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -28,7 +28,7 @@
 	if !g.drain.enter() {
 		// The connection is closed, so that the caller's next request goes to another instance.
 		w.Header().Set("Connection", "close")
-		g.writeFailure(w, parsed{}, refuse(fault.CodeStopping, "serve", "the instance stops"), arrived)
+		g.Refuse(w, r, refuse(fault.CodeStopping, "serve", "the instance stops"))
 		return
 	}
 	defer g.drain.leave()
@@ -47,18 +47,28 @@
 
 func (g *Gateway) serveParsed(w http.ResponseWriter, r *http.Request, p *parsed, arrived time.Time) (dispatch.Response, error) {
 	if err := g.Quotas.Take(p.request.Team, arrived); err != nil {
-		return dispatch.Response{}, err
+		return dispatch.Response{}, doubt(p.request, err)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), p.deadline)
 	defer cancel()
 	free, err := g.readBody(ctx, w, r, p)
 	defer free()
 	if err != nil {
-		return dispatch.Response{}, err
+		return dispatch.Response{}, doubt(p.request, err)
 	}
 	return g.handle(ctx, p.request)
 }
 
+// Refuse answers a request that nothing was done for because of err.
+func (g *Gateway) Refuse(w http.ResponseWriter, r *http.Request, err error) {
+	attempt, parseErr := parseAttempt(r.Header.Get(api.HeaderAttempt))
+	if parseErr != nil {
+		attempt = 0
+	}
+	request := dispatch.Request{Key: r.Header.Get(api.HeaderKey), Attempt: attempt}
+	g.writeFailure(w, parsed{}, doubt(request, fault.NotRun(err)), g.Clock.Now())
+}
+
 func (g *Gateway) serveNotFound(w http.ResponseWriter, _ *http.Request) {
 	g.writeFailure(w, parsed{}, refuse(fault.CodeNotFound, "serve", "the path names no service"), g.Clock.Now())
 }
--- a/gateway/flow.go
+++ b/gateway/flow.go
@@ -21,7 +21,7 @@
 func (g *Gateway) handle(ctx context.Context, request dispatch.Request) (_ dispatch.Response, err error) {
 	grant, err := g.Admission.Admit(ctx, admission.Request{Urgency: request.Urgency, Service: request.Service})
 	if err != nil {
-		return dispatch.Response{}, err
+		return dispatch.Response{}, doubt(request, err)
 	}
 	defer func() { grant.Done(fault.OutcomeOf(err) != api.NotRun) }()
 	return g.runAdmitted(ctx, request)
@@ -39,7 +39,7 @@
 	}
 	owner, err := g.Ledger.Owner(request.Key)
 	if err != nil {
-		return dispatch.Response{}, fault.NotRun(err)
+		return dispatch.Response{}, doubt(request, fault.NotRun(err))
 	}
 	if owner == g.Self.ID {
 		return g.runKeyed(ctx, request)
@@ -58,20 +58,30 @@
 
 func (g *Gateway) forwardKeyed(ctx context.Context, owner api.InstanceID, request dispatch.Request) (dispatch.Response, error) {
 	if g.Peers == nil {
-		return dispatch.Response{}, refuse(fault.CodeNotOwner, "forward", "no transport to the owner of the key's shard")
+		err := refuse(fault.CodeNotOwner, "forward", "no transport to the owner of the key's shard")
+		return dispatch.Response{}, doubt(request, err)
 	}
 	g.Metrics.hop(hopShard)
 	message := dispatch.KeyedRequest{Request: request, Budget: g.budgetOf(ctx)}
 	reply, err := g.Peers.ForwardKeyed(ctx, owner, message)
 	if err != nil {
-		return dispatch.Response{}, &fault.RequestError{
+		return dispatch.Response{}, doubt(request, &fault.RequestError{
 			Outcome: fault.OutcomeOf(err),
 			Cause:   &dispatch.ForwardError{Owner: owner, Cause: err},
-		}
+		})
 	}
 	return reply.Result()
 }
 
+// doubt turns the refusal of a caller's retry into unknown where the ledger was not asked: this attempt did not run, but
+// an earlier one at the same key may have, and "not-run" speaks of the work.
+func doubt(request dispatch.Request, err error) error {
+	if request.Key == "" || request.Attempt == 1 || fault.OutcomeOf(err) != api.NotRun {
+		return err
+	}
+	return fault.Unknown(err)
+}
+
 func (g *Gateway) budgetOf(ctx context.Context) time.Duration {
 	deadline, _ := ctx.Deadline()
 	return deadline.Sub(g.Clock.Now())
@@ -209,7 +219,7 @@
 		err = &fault.Failure{FailureCode: fault.CodeNotOwner, Op: "serve keyed", Detail: "the shard is owned by " + string(owner)}
 	}
 	if err != nil {
-		return dispatch.ReplyOf(dispatch.Response{}, fault.NotRun(err))
+		return dispatch.ReplyOf(dispatch.Response{}, doubt(message.Request, fault.NotRun(err)))
 	}
 	return dispatch.ReplyOf(g.runKeyed(ctx, message.Request))
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -344,3 +344,17 @@
 		}
 	}
 }
+
+// Guards against telling a caller's retry "not-run" without asking the ledger: the first attempt may have run.
+func TestRefusedRetryIsUnknown(t *testing.T) {
+	f := newInstance(t, 1)
+	refusal := &fault.Failure{FailureCode: fault.CodeNotReady, Op: "test", Detail: "not ready"}
+	url := "http://" + serve(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.gateway.Refuse(w, r, refusal)
+	})})
+	for attempt, want := range map[string]api.Outcome{"": api.NotRun, "1": api.NotRun, "2": api.Unknown} {
+		if got := call(t, "POST", url+"/s/x", "order", api.HeaderKey, "r:1", api.HeaderAttempt, attempt); got.outcome != want {
+			t.Errorf("attempt %q: outcome %s, want %s", attempt, got.outcome, want)
+		}
+	}
+}
--- /dev/null
+++ b/instance/cluster.go
@@ -0,0 +1,201 @@
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"strconv"
+
+	"bronzehook/api"
+	"bronzehook/audit"
+	"bronzehook/coordinator"
+	"bronzehook/dedup"
+	"bronzehook/fault"
+	"bronzehook/membership"
+	"bronzehook/ownership"
+	"bronzehook/peer"
+)
+
+// newSession returns an identifier of this run of the process; it is never 0.
+func newSession() uint64 {
+	var bytes [8]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(bytes[:])
+	return binary.LittleEndian.Uint64(bytes[:]) | 1
+}
+
+// unitClaimed hands a claimed rack or the coordinator duty to its service. It runs within a step of ownership and does
+// not block.
+func (i *Instance) unitClaimed(unit api.Unit, epoch api.Epoch, previous api.InstanceID) {
+	switch unit.Kind {
+	case api.UnitRack:
+		i.loop.Post(func() { i.runner.Claimed(unit, epoch) })
+	case api.UnitCoordinator:
+		i.loop.Post(func() { i.coordinator.Claimed(epoch) })
+	}
+	i.emit(audit.Event{
+		Actor: string(i.options.Self.ID), Action: "claim", Subject: unit.Key(), From: string(previous),
+		To: string(i.options.Self.ID), Result: audit.ResultOK, Reason: "epoch " + strconv.FormatUint(uint64(epoch), 10),
+	})
+}
+
+func (i *Instance) unitLost(unit api.Unit) {
+	switch unit.Kind {
+	case api.UnitRack:
+		i.loop.Post(func() { i.runner.Lost(unit) })
+	case api.UnitCoordinator:
+		i.loop.Post(i.coordinator.Lost)
+	}
+}
+
+// unitsChanged tells the ledger about shards whose tenure has changed, and the runner about a new coordinator.
+func (i *Instance) unitsChanged(before, after *ownership.View) {
+	for _, shard := range i.shards() {
+		then := tenureOf(before.Units[shard.Unit()])
+		now := tenureOf(after.Units[shard.Unit()])
+		if now == then {
+			continue
+		}
+		switch {
+		case now.Owner == i.options.Self.ID && after.Units[shard.Unit()].Session == i.session:
+			i.ledger.Own(shard, now, then)
+		case then.Owner == i.options.Self.ID:
+			i.ledger.Disown(shard)
+		case then.Deputy == i.options.Self.ID && now.Deputy != i.options.Self.ID:
+			i.ledger.Forget(shard)
+		}
+	}
+	if after.Units[api.Coordinator] != before.Units[api.Coordinator] {
+		i.loop.Post(i.runner.ReportFully)
+	}
+	i.viewStale.Store(true)
+}
+
+// unitReleasing completes the deputy's copy of a shard before the shard is handed over. Check refuses the unit already.
+func (i *Instance) unitReleasing(ctx context.Context, unit api.Unit, _ api.Instance) {
+	if unit.Kind != api.UnitShard {
+		return
+	}
+	for _, shard := range i.shards() {
+		if shard.Unit() != unit {
+			continue
+		}
+		if err := i.ledger.Sync(ctx, shard); err != nil {
+			i.log.Warn().Str("unit", unit.Key()).Err(err).Msg("request keys not handed over")
+		}
+		i.ledger.Disown(shard)
+	}
+}
+
+func (i *Instance) shards() []dedup.Shard {
+	shards := make([]dedup.Shard, 0, len(i.options.Regions)*dedup.ShardsPerRegion)
+	for _, region := range i.options.Regions {
+		for number := range dedup.ShardsPerRegion {
+			shards = append(shards, dedup.Shard{Region: region, Number: number})
+		}
+	}
+	return shards
+}
+
+func tenureOf(owner ownership.Owner) dedup.Tenure {
+	return dedup.Tenure{Owner: owner.Instance, Deputy: owner.Deputy, Epoch: owner.Epoch}
+}
+
+// shardAuthority implements dedup.Authority.
+type shardAuthority struct{ *Instance }
+
+// Tenure implements dedup.Authority.
+func (a shardAuthority) Tenure(shard dedup.Shard) (dedup.Tenure, bool) {
+	owner, ok := a.owners.View().Units[shard.Unit()]
+	return tenureOf(owner), ok
+}
+
+// Check implements dedup.Authority.
+func (a shardAuthority) Check(shard dedup.Shard, epoch api.Epoch) error {
+	held, err := a.owners.Check(shard.Unit())
+	if err != nil {
+		return err
+	}
+	if held != epoch {
+		return &fault.Failure{FailureCode: fault.CodeStaleEpoch, Op: "check shard", Detail: shard.Unit().Key()}
+	}
+	return nil
+}
+
+// Claim implements coordinator.Cluster. A unit whose owner has lapsed counts as having none.
+func (i *Instance) Claim(unit api.Unit) (coordinator.Claim, bool) {
+	owner, ok := i.owners.View().Units[unit]
+	if !ok || owner.Instance == "" || i.members.Lapsed(owner.Instance) {
+		return coordinator.Claim{}, false
+	}
+	return coordinator.Claim{Owner: owner.Instance, Epoch: owner.Epoch}, true
+}
+
+// Check implements coordinator.Cluster.
+func (i *Instance) Check(unit api.Unit) (api.Epoch, error) { return i.owners.Check(unit) }
+
+// Work implements coordinator.Cluster.
+func (i *Instance) Work() *api.WorkSet {
+	snapshot := i.rollout.Snapshot()
+	if snapshot.Revision == 0 {
+		return nil
+	}
+	return &snapshot.Work
+}
+
+// Workers implements coordinator.Cluster.
+func (i *Instance) Workers() ([]api.Worker, map[api.WorkerID]bool) {
+	return i.members.View().Workers, i.drains.Workers()
+}
+
+// UnitVersion implements coordinator.Cluster.
+func (i *Instance) UnitVersion(ctx context.Context, unit api.Unit, epoch api.Epoch) (uint64, error) {
+	row, err := i.store.Get(ctx, unit.Key())
+	if err != nil {
+		return 0, err
+	}
+	var value ownership.Row
+	if err := peer.Decode(row.Value, &value); err != nil {
+		return 0, err
+	}
+	if value.Owner != i.options.Self.ID || value.Session != i.session || value.Epoch != epoch {
+		return 0, fault.New(fault.CodeNotOwner, "read unit", "%s is owned by %s under epoch %d", unit.Key(), value.Owner, value.Epoch)
+	}
+	return row.Version, nil
+}
+
+// addrOf returns the address of another instance.
+func (i *Instance) addrOf(id api.InstanceID) (string, error) {
+	member, ok := i.members.View().Members[id]
+	if !ok || member.Instance.Addr == "" {
+		return "", fault.NotRun(fault.New(fault.CodeUnreachable, "find instance", "the address of %s is not known", id))
+	}
+	return member.Instance.Addr, nil
+}
+
+// live returns the other instances that are live, in no order.
+func (i *Instance) live() []membership.Member {
+	var live []membership.Member
+	for _, member := range i.members.View().Members {
+		if member.Status == membership.StatusLive && member.Heard {
+			live = append(live, member)
+		}
+	}
+	return live
+}
+
+func (i *Instance) auditTask(event coordinator.Event) {
+	i.emit(audit.Event{
+		Actor: "coordinator", Action: event.Action, Subject: string(event.Task), To: string(event.Worker),
+		Result: audit.ResultOK, Reason: event.Reason,
+	})
+}
+
+// emit records an event in the audit trail. It never blocks.
+func (i *Instance) emit(event audit.Event) {
+	if event.Time.IsZero() {
+		event.Time = i.options.Clock.Now()
+	}
+	event.Instance = i.options.Self.ID
+	i.trail.Record(event)
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,279 @@
+// Package instance assembles the services of one instance and translates between them. It decides nothing itself.
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"bronzehook/admission"
+	"bronzehook/api"
+	"bronzehook/audit"
+	"bronzehook/authority"
+	"bronzehook/config/rollout"
+	"bronzehook/control"
+	"bronzehook/coordinator"
+	"bronzehook/dedup"
+	"bronzehook/dispatch"
+	"bronzehook/drain"
+	"bronzehook/gateway"
+	"bronzehook/kernel"
+	"bronzehook/membership"
+	"bronzehook/operator"
+	"bronzehook/ownership"
+	"bronzehook/peer"
+	"bronzehook/platform"
+	"bronzehook/routing"
+	"bronzehook/routing/outlier"
+	"bronzehook/runner"
+	"bronzehook/scheduler"
+)
+
+// Options are what an instance is built from.
+type Options struct {
+	Self api.Instance
+	// Regions names all regions of the fleet; it is the same on all instances.
+	Regions []string
+
+	CallerAddr   string
+	OperatorAddr string
+	// CallerTLS protects the interfaces towards callers and operators; nil means plain HTTP.
+	CallerTLS     *tls.Config
+	PeerTLS       *tls.Config
+	OperatorToken string
+
+	Table     platform.Table
+	Objects   platform.Objects
+	Directory platform.Directory
+	Workers   platform.Workers
+
+	Clock  clockwork.Clock
+	Logger zerolog.Logger
+
+	Hold        time.Duration
+	TaskLease   time.Duration
+	StopTimeout time.Duration
+
+	// ListenPeer opens the socket towards other instances; nil means a UDP socket.
+	ListenPeer func(addr string) (net.PacketConn, error)
+}
+
+// balancerDelay is how long a stopping instance stays reachable after its readiness fell, so that the balancer notices.
+const balancerDelay = time.Second
+
+// Instance is one process of the system.
+type Instance struct {
+	options  Options
+	log      zerolog.Logger
+	session  uint64
+	registry *prometheus.Registry
+
+	kernel      *kernel.Kernel
+	loop        *control.Loop
+	transport   *peer.Transport
+	members     *membership.Service
+	owners      *ownership.Service
+	rollout     *rollout.Service
+	drains      *drain.Service
+	trail       *audit.Trail
+	runner      *runner.Runner
+	coordinator *coordinator.Coordinator
+	ledger      *dedup.Service
+	admission   *admission.Controller
+	quotas      *admission.Quotas
+	trackers    *routing.Trackers
+	gateway     *gateway.Gateway
+	endpoints   *directoryOfEndpoints
+	store       *storeMonitor
+	gate        *gate
+	callers     *httpService
+	operators   *operator.Server
+
+	// viewStale is set when what routing sees has to be built anew.
+	viewStale atomic.Bool
+	stopping  atomic.Bool
+}
+
+// New assembles an instance that is not started.
+func New(options Options) *Instance {
+	i := &Instance{
+		options: options, session: newSession(), registry: prometheus.NewRegistry(),
+		log: options.Logger.With().Str("dataCentre", options.Self.Location.DataCentre).Logger(),
+	}
+	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.kernel = kernel.New(kernel.NewBus())
+	i.store = newStoreMonitor(options.Table, options.Clock, i.registry)
+	i.loop = control.NewLoop(options.Clock)
+	i.buildCluster()
+	i.buildConfiguration()
+	i.buildWork()
+	i.buildRequests()
+	i.buildOperators()
+	i.registerMessages()
+	i.registerMetrics()
+	i.kernel.Register(i.loop, i.transport, i.members, i.owners, i.rollout, i.drains, i.trail, i.runner, i.coordinator,
+		i.callers, i.operators, &viewService{i})
+	return i
+}
+
+func (i *Instance) buildCluster() {
+	o := i.options
+	i.transport = peer.New(peer.Config{
+		ID: o.Self.ID, Addr: o.Self.Addr, Session: i.session, TLS: o.PeerTLS, Listen: o.ListenPeer, Log: i.log,
+		RegionOf: func(addr string) string { return i.members.View().RegionOfAddr(addr) },
+	})
+	i.endpoints = newDirectoryOfEndpoints(o.Self.ID, i.fetchEndpoints, func() { i.viewStale.Store(true) })
+	i.members = membership.New(membership.Config{
+		Self: o.Self, Rule: authority.Rule{Hold: o.Hold}, Clock: o.Clock, Table: i.store, Directory: o.Directory,
+		Messenger: i.transport, Log: i.log,
+		Revision:        func() uint64 { return i.rollout.Snapshot().Revision },
+		EndpointVersion: func() uint64 { return i.endpoints.ownSet().Version },
+		RevisionSeen: func(from api.Instance, revision uint64) {
+			if !i.members.Lapsed(from.ID) {
+				i.rollout.Notify(revision)
+			}
+		},
+		EndpointsSeen: func(from api.Instance, version uint64) { i.endpoints.heard(from.ID, version) },
+	})
+	i.owners = ownership.New(ownership.Config{
+		Self: o.Self, Clock: o.Clock, Table: i.store, Members: i.members, Messenger: i.transport, Log: i.log,
+		Claimed: i.unitClaimed, Lost: i.unitLost, Changed: i.unitsChanged, Releasing: i.unitReleasing,
+	})
+}
+
+func (i *Instance) buildConfiguration() {
+	o := i.options
+	i.rollout = rollout.New(rollout.Options{
+		Self: o.Self.ID, Table: i.store, Peers: bundleSource{i}, Instances: instanceStatuses{i}, Bus: i.kernel.Bus(),
+		Clock: o.Clock, Logger: i.log, Regions: func() []string { return o.Regions },
+		Requires: []string{membership.ServiceName},
+	})
+	i.drains = drain.New(drain.Options{Table: i.store, Clock: o.Clock, Logger: i.log, NewOpID: rollout.NewOpID})
+	i.trail = audit.New(audit.Options{
+		Self: o.Self.ID, Table: i.store, Bus: i.kernel.Bus(), Clock: o.Clock, Logger: i.log,
+	})
+}
+
+func (i *Instance) buildWork() {
+	o := i.options
+	slots := dispatch.NewSlotTable()
+	i.runner = runner.New(runner.Options{
+		Self: o.Self.ID, Clock: o.Clock, Loop: i.loop, Workers: o.Workers, Ownership: i.owners, Reporter: i, Slots: slots,
+		Logger: i.log, Lease: o.TaskLease, Hold: o.Hold, EndpointsChanged: i.endpoints.setOwn,
+	})
+	i.coordinator = coordinator.New(coordinator.Options{
+		Self: o.Self.ID, Clock: o.Clock, Loop: i.loop, Table: i.store, Cluster: i, Sender: i, Logger: i.log,
+		Lease: o.TaskLease, NewOpID: rollout.NewOpID, Audit: i.auditTask,
+		Decider: coordinator.NewEngineDecider(scheduler.DefaultOptions(), i.session),
+	})
+	i.ledger = dedup.NewService(o.Self.ID, dedup.DefaultConfig(), o.Clock, shardAuthority{i}, replicator{i})
+	i.ledger.SetRegions(o.Regions)
+	i.trackers = routing.NewTrackers(outlier.DefaultConfig())
+	client := dispatch.NewClient(dispatch.DefaultClientConfig())
+	dispatcher := dispatch.New(o.Self.ID, slots, i.runner.Permits(), client, i)
+	i.admission = admission.NewController(o.Clock, admission.DefaultConfig(), 1, api.Floors{})
+	i.quotas = admission.NewQuotas()
+	config := gateway.DefaultConfig()
+	config.DrainTimeout = o.StopTimeout
+	config.Seed = i.session
+	i.gateway = gateway.New(config, gateway.Parts{
+		Self: o.Self, Clock: o.Clock, Log: i.log, Authenticator: gateway.HeaderAuthenticator{DefaultTeam: "default"},
+		Admission: i.admission, Quotas: i.quotas, Ledger: i.ledger, Peers: i, Dispatcher: dispatcher, Trackers: i.trackers,
+		Retries: admission.NewRetryBudget(admission.DefaultRetryConfig(), o.Clock.Now()),
+		Metrics: gateway.NewMetrics(i.registry, i.admission),
+	})
+}
+
+func (i *Instance) buildRequests() {
+	i.gate = newGate(i)
+	server := i.gateway.NewServer()
+	server.Handler = i.gate.wrap(server.Handler)
+	server.TLSConfig = i.options.CallerTLS
+	i.callers = &httpService{name: "callers", addr: i.options.CallerAddr, server: server, requires: []string{"view"}}
+}
+
+func (i *Instance) buildOperators() {
+	o := i.options
+	i.operators = operator.New(operator.Options{
+		Addr: o.OperatorAddr, Token: o.OperatorToken, TLS: o.CallerTLS, Rollout: i.rollout, Status: i, Explain: i,
+		Drains: operatorDrains{i}, Trail: i.trail, Clock: o.Clock, Logger: i.log, Ready: i.gate.ready,
+		Metrics: promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}), Emit: i.emit, Requires: []string{"callers"},
+	})
+}
+
+// Start starts all services. It does not wait for the platform, which may be down.
+func (i *Instance) Start(ctx context.Context) error { return i.kernel.Start(ctx) }
+
+// CallerAddr returns the address that serves callers.
+func (i *Instance) CallerAddr() string { return i.callers.listener.Addr().String() }
+
+// OperatorAddr returns the address that serves operators.
+func (i *Instance) OperatorAddr() string { return i.operators.Addr().String() }
+
+// Ready returns why the instance must not get requests, or nil.
+func (i *Instance) Ready() error { return i.gate.ready() }
+
+// Stop is the planned stop: readiness falls, units are handed over, requests in flight finish, services end. The context
+// bounds all of it.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.stopping.Store(true)
+	i.members.SetLeaving()
+	i.log.Info().Msg("stop begun")
+	select {
+	case <-ctx.Done():
+	case <-i.options.Clock.After(balancerDelay):
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- i.gateway.Stop(ctx) }()
+	handover := i.owners.HandOver(ctx)
+	err := errors.CombineErrors(<-drained, handover)
+	err = errors.CombineErrors(err, i.kernel.Stop(ctx))
+	i.ledger.Close()
+	i.log.Info().Msg("stop done")
+	return err
+}
+
+// httpService is an HTTP server with the life cycle of a service.
+type httpService struct {
+	name     string
+	addr     string
+	server   *http.Server
+	requires []string
+	listener net.Listener
+}
+
+// Name implements kernel.Service.
+func (s *httpService) Name() string { return s.name }
+
+// Requires implements kernel.Service.
+func (s *httpService) Requires() []string { return s.requires }
+
+// Start listens and serves.
+func (s *httpService) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", s.name)
+	}
+	s.listener = listener
+	serving := listener
+	if s.server.TLSConfig != nil {
+		serving = tls.NewListener(listener, s.server.TLSConfig)
+	}
+	go func() { _ = s.server.Serve(serving) }()
+	return nil
+}
+
+// Stop finishes requests in flight.
+func (s *httpService) Stop(ctx context.Context) error {
+	return errors.Wrapf(s.server.Shutdown(ctx), "stop serving %s", s.name)
+}
--- /dev/null
+++ b/instance/messages.go
@@ -0,0 +1,176 @@
+package instance
+
+import (
+	"context"
+
+	"bronzehook/api"
+	"bronzehook/config/rollout"
+	"bronzehook/dedup"
+	"bronzehook/dispatch"
+	"bronzehook/fault"
+	"bronzehook/peer"
+	"bronzehook/runner"
+)
+
+// empty is an answer without content.
+type empty struct{}
+
+// bundlePull asks an instance for its configuration.
+type bundlePull struct{}
+
+// ordersReply answers the coordinator's orders.
+type ordersReply struct {
+	Reports []runner.AttemptReport `cbor:"1,keyasint,omitempty"`
+}
+
+func (i *Instance) registerMessages() {
+	t := i.transport
+	handleEndpointPull(t, i.endpoints)
+	peer.HandleTyped(t, peer.KindConfigPull, func(context.Context, peer.Sender, bundlePull) (rollout.Bundle, error) {
+		return i.rollout.Bundle()
+	})
+	peer.HandleTyped(t, peer.KindTaskReport, func(ctx context.Context, _ peer.Sender, r runner.Report) (runner.ReportReply, error) {
+		return i.takeReport(ctx, r)
+	})
+	peer.HandleTyped(t, peer.KindAssignTask, func(ctx context.Context, _ peer.Sender, o runner.Orders) (ordersReply, error) {
+		reports, err := i.takeOrders(ctx, o)
+		return ordersReply{Reports: reports}, err
+	})
+	peer.HandleTyped(t, peer.KindExplain, func(ctx context.Context, _ peer.Sender, q explainQuery) (explainReply, error) {
+		return i.explainHere(ctx, q.Work)
+	})
+	peer.HandleTyped(t, peer.KindForward, func(ctx context.Context, _ peer.Sender, m dispatch.ForwardRequest) (dispatch.Reply, error) {
+		return i.gateway.ServeForward(ctx, m), nil
+	})
+	peer.HandleTyped(t, peer.KindForwardKeyed, func(ctx context.Context, _ peer.Sender, m dispatch.KeyedRequest) (dispatch.Reply, error) {
+		return i.gateway.ServeKeyed(ctx, m), nil
+	})
+	peer.HandleTyped(t, peer.KindDedupRecord, func(_ context.Context, _ peer.Sender, m dedup.RecordMessage) (empty, error) {
+		return empty{}, i.ledger.ApplyRecord(m)
+	})
+	peer.HandleTyped(t, peer.KindDedupTransfer, func(_ context.Context, _ peer.Sender, m dedup.TransferMessage) (empty, error) {
+		return empty{}, i.ledger.ApplyTransfer(m)
+	})
+}
+
+// call sends a request to another instance.
+func call[Response, Request any](ctx context.Context, i *Instance, to api.InstanceID, kind peer.Kind, request Request) (Response, error) {
+	addr, err := i.addrOf(to)
+	if err != nil {
+		var none Response
+		return none, err
+	}
+	return peer.Call[Request, Response](ctx, i.transport, addr, kind, request)
+}
+
+// fetchEndpoints pulls the endpoints that another instance publishes.
+func (i *Instance) fetchEndpoints(ctx context.Context, from api.InstanceID) (endpointSet, error) {
+	return call[endpointSet](ctx, i, from, peer.KindEndpointPull, endpointPull{})
+}
+
+// Forward implements dispatch.Forwarder.
+func (i *Instance) Forward(ctx context.Context, owner api.InstanceID, m dispatch.ForwardRequest) (dispatch.Reply, error) {
+	return call[dispatch.Reply](ctx, i, owner, peer.KindForward, m)
+}
+
+// ForwardKeyed implements gateway.Peers.
+func (i *Instance) ForwardKeyed(ctx context.Context, owner api.InstanceID, m dispatch.KeyedRequest) (dispatch.Reply, error) {
+	return call[dispatch.Reply](ctx, i, owner, peer.KindForwardKeyed, m)
+}
+
+// replicator implements dedup.Replicator.
+type replicator struct{ *Instance }
+
+// Replicate implements dedup.Replicator.
+func (r replicator) Replicate(ctx context.Context, to api.InstanceID, m dedup.RecordMessage) error {
+	_, err := call[empty](ctx, r.Instance, to, peer.KindDedupRecord, m)
+	return err
+}
+
+// Transfer implements dedup.Replicator.
+func (r replicator) Transfer(ctx context.Context, to api.InstanceID, m dedup.TransferMessage) error {
+	_, err := call[empty](ctx, r.Instance, to, peer.KindDedupTransfer, m)
+	return err
+}
+
+// Report implements runner.Reporter: it delivers a report to the coordinator, which may be this instance.
+func (i *Instance) Report(ctx context.Context, report runner.Report) (runner.ReportReply, error) {
+	owner, ok := i.owners.View().Units[api.Coordinator]
+	switch {
+	case !ok || owner.Instance == "":
+		return runner.ReportReply{}, fault.New(fault.CodeNotOwner, "report", "there is no coordinator")
+	case owner.Instance == i.options.Self.ID:
+		return i.takeReport(ctx, report)
+	}
+	return call[runner.ReportReply](ctx, i, owner.Instance, peer.KindTaskReport, report)
+}
+
+func (i *Instance) takeReport(ctx context.Context, report runner.Report) (runner.ReportReply, error) {
+	var reply runner.ReportReply
+	held := false
+	err := i.loop.Do(ctx, func() { reply, held = i.coordinator.HandleReport(report) })
+	if err == nil && !held {
+		err = fault.New(fault.CodeNotOwner, "report", "the coordinator duty is not held here")
+	}
+	return reply, err
+}
+
+// SendOrders implements coordinator.Sender.
+func (i *Instance) SendOrders(ctx context.Context, to api.InstanceID, orders runner.Orders) ([]runner.AttemptReport, error) {
+	if to == i.options.Self.ID {
+		return i.takeOrders(ctx, orders)
+	}
+	reply, err := call[ordersReply](ctx, i, to, peer.KindAssignTask, orders)
+	return reply.Reports, err
+}
+
+func (i *Instance) takeOrders(ctx context.Context, orders runner.Orders) ([]runner.AttemptReport, error) {
+	var reports []runner.AttemptReport
+	err := i.loop.Do(ctx, func() { reports = i.runner.Apply(orders) })
+	return reports, err
+}
+
+// bundleSource implements rollout.PeerSource.
+type bundleSource struct{ *Instance }
+
+// Fetch implements rollout.PeerSource: it asks live instances until one has the revision.
+func (s bundleSource) Fetch(ctx context.Context, revision uint64) (rollout.Bundle, error) {
+	var best rollout.Bundle
+	found := false
+	for _, member := range s.live() {
+		if member.Lapsed || member.Revision < revision {
+			continue
+		}
+		bundle, err := call[rollout.Bundle](ctx, s.Instance, member.Instance.ID, peer.KindConfigPull, bundlePull{})
+		if err != nil || bundle.Revision < revision {
+			continue
+		}
+		if !found || bundle.Revision > best.Revision {
+			best, found = bundle, true
+		}
+		if found && revision > 0 {
+			break
+		}
+	}
+	if !found {
+		return best, fault.New(fault.CodeNotFound, "fetch configuration", "no peer has revision %d", revision)
+	}
+	return best, nil
+}
+
+// instanceStatuses implements rollout.Instances.
+type instanceStatuses struct{ *Instance }
+
+// Instances implements rollout.Instances.
+func (s instanceStatuses) Instances() []rollout.InstanceStatus {
+	self := s.options.Self
+	statuses := []rollout.InstanceStatus{{
+		ID: self.ID, Region: self.Location.Region, Revision: s.rollout.Snapshot().Revision,
+	}}
+	for _, member := range s.members.View().Members {
+		statuses = append(statuses, rollout.InstanceStatus{
+			ID: member.Instance.ID, Region: member.Instance.Location.Region, Revision: member.Revision, Lapsed: member.Lapsed,
+		})
+	}
+	return statuses
+}
--- /dev/null
+++ b/instance/operators.go
@@ -0,0 +1,167 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"bronzehook/api"
+	"bronzehook/coordinator"
+	"bronzehook/drain"
+	"bronzehook/fault"
+	"bronzehook/operator"
+	"bronzehook/peer"
+)
+
+// Status implements operator.StatusSource.
+func (i *Instance) Status(context.Context) (operator.Status, error) {
+	status := operator.Status{
+		Instance: i.options.Self.ID, Revision: i.rollout.Snapshot().Revision, Instances: i.instanceStates(),
+		Workers: i.workerStates(), Ownership: i.unitStates(), Drains: operatorDrains{i}.list(),
+	}
+	reason, lastAnswer := i.store.health()
+	status.Store = operator.StoreState{Healthy: reason == "" && !lastAnswer.IsZero(), Reason: reason, LastAnswer: lastAnswer}
+	return status, nil
+}
+
+func (i *Instance) instanceStates() []operator.InstanceState {
+	self := i.options.Self
+	states := []operator.InstanceState{{
+		ID: self.ID, Region: self.Location.Region, DataCentre: self.Location.DataCentre,
+		Revision: i.rollout.Snapshot().Revision, State: i.ownState(),
+	}}
+	for _, m := range i.members.View().Members {
+		state := string(m.Status)
+		if m.Lapsed {
+			state = "lapsed"
+		}
+		states = append(states, operator.InstanceState{
+			ID: m.Instance.ID, Region: m.Instance.Location.Region, DataCentre: m.Instance.Location.DataCentre,
+			Revision: m.Revision, State: state,
+		})
+	}
+	slices.SortFunc(states, func(a, b operator.InstanceState) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return states
+}
+
+func (i *Instance) ownState() string {
+	switch {
+	case i.stopping.Load():
+		return "leaving"
+	case !i.members.Valid():
+		return "lapsed"
+	}
+	return "live"
+}
+
+func (i *Instance) workerStates() []operator.WorkerState {
+	drained := i.drains.Workers()
+	tasks := map[api.WorkerID]int{}
+	for _, e := range i.endpoints.all() {
+		tasks[e.Worker]++
+	}
+	var states []operator.WorkerState
+	for _, w := range i.members.View().Workers {
+		state := operator.WorkerState{ID: w.ID, Location: w.Location, Capacity: w.Capacity, Tasks: tasks[w.ID], State: "live"}
+		switch {
+		case drained[w.ID]:
+			state.State = "drained"
+		case w.Leaving:
+			state.State = "leaving"
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+func (i *Instance) unitStates() []operator.UnitState {
+	var states []operator.UnitState
+	for unit, owner := range i.owners.View().Units {
+		states = append(states, operator.UnitState{Unit: unit, Owner: owner.Instance, Epoch: owner.Epoch, Deputy: owner.Deputy})
+	}
+	slices.SortFunc(states, func(a, b operator.UnitState) int { return strings.Compare(a.Unit.Key(), b.Unit.Key()) })
+	return states
+}
+
+// explainQuery asks the coordinator about a piece of work.
+type explainQuery struct {
+	Work string `cbor:"1,keyasint"`
+}
+
+type explainReply struct {
+	Tasks []coordinator.Explanation `cbor:"1,keyasint,omitempty"`
+}
+
+// Explain implements operator.Explainer. The coordinator knows the answer; it may be another instance.
+func (i *Instance) Explain(ctx context.Context, work string) (operator.Explanation, error) {
+	spec, known := i.rollout.Snapshot().Work.Specs[work]
+	if !known {
+		return operator.Explanation{}, fault.New(fault.CodeNotFound, "explain", "no work is named %s", work)
+	}
+	owner := i.owners.View().Units[api.Coordinator].Instance
+	var reply explainReply
+	var err error
+	switch owner {
+	case "":
+		err = fault.New(fault.CodeNotReady, "explain", "there is no coordinator")
+	case i.options.Self.ID:
+		reply, err = i.explainHere(ctx, work)
+	default:
+		reply, err = call[explainReply](ctx, i, owner, peer.KindExplain, explainQuery{Work: work})
+	}
+	if err != nil {
+		return operator.Explanation{}, err
+	}
+	return explanationOf(spec, reply), nil
+}
+
+func (i *Instance) explainHere(ctx context.Context, work string) (explainReply, error) {
+	var reply explainReply
+	held := false
+	err := i.loop.Do(ctx, func() { reply.Tasks, held = i.coordinator.Explain(work) })
+	if err == nil && !held {
+		err = fault.New(fault.CodeNotOwner, "explain", "the coordinator duty is not held here")
+	}
+	return reply, err
+}
+
+func explanationOf(spec api.Spec, reply explainReply) operator.Explanation {
+	explanation := operator.Explanation{Work: spec.Name, Tasks: []operator.TaskExplanation{}}
+	slices.SortFunc(reply.Tasks, func(a, b coordinator.Explanation) int {
+		return strings.Compare(string(a.Task.ID), string(b.Task.ID))
+	})
+	for _, t := range reply.Tasks {
+		explanation.Tasks = append(explanation.Tasks, operator.TaskExplanation{
+			Task: t.Task.ID, Wanted: t.Task.Wanted, Seen: t.Seen, Worker: t.Task.Worker, Reason: t.Reason,
+		})
+		if t.Task.Wanted == api.WantedPending && explanation.Waits == "" {
+			explanation.Waits = t.Reason
+		}
+	}
+	return explanation
+}
+
+// operatorDrains implements operator.Drains.
+type operatorDrains struct{ *Instance }
+
+// Drain implements operator.Drains.
+func (d operatorDrains) Drain(ctx context.Context, request operator.Drain) error {
+	known := slices.ContainsFunc(d.members.View().Workers, func(w api.Worker) bool { return w.ID == request.Worker })
+	if !known {
+		return fault.New(fault.CodeNotFound, "drain", "no worker is named %s", request.Worker)
+	}
+	return d.drains.Drain(ctx, drain.Record(request))
+}
+
+// Undrain implements operator.Drains.
+func (d operatorDrains) Undrain(ctx context.Context, worker api.WorkerID) error {
+	return d.drains.Undrain(ctx, worker)
+}
+
+func (d operatorDrains) list() []operator.Drain {
+	var drains []operator.Drain
+	for _, record := range d.drains.Current() {
+		drains = append(drains, operator.Drain(record))
+	}
+	return drains
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -28,6 +28,10 @@
 	KindConfigPull
 	KindHandover
 	KindBulk
+	// KindForwardKeyed hands a non-idempotent request to the owner of its shard.
+	KindForwardKeyed
+	// KindExplain asks the coordinator why work waits.
+	KindExplain
 )
 
 // Purpose classes traffic for counting and budgets.
@@ -52,7 +56,7 @@
 // Purpose returns the purpose of messages of this kind.
 func (k Kind) Purpose() Purpose {
 	switch k {
-	case KindForward:
+	case KindForward, KindForwardKeyed:
 		return PurposeRequest
 	case KindDedupRecord, KindDedupTransfer:
 		return PurposeDedup
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -11,7 +11,12 @@
 
 // Apply carries out orders of the coordinator and returns reports on assignments that are refused and on attempts that
 // were asked about. Accepted assignments show up in later reports.
+// Orders of a coordinator that was replaced have no effect.
 func (r *Runner) Apply(orders Orders) []AttemptReport {
+	if orders.Epoch < r.coordinatorEpoch {
+		return nil
+	}
+	r.coordinatorEpoch = orders.Epoch
 	var reports []AttemptReport
 	for _, assignment := range orders.Assignments {
 		if err := r.assign(assignment); err != nil {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -91,6 +91,8 @@
 	drained map[api.WorkerID]bool
 	racks   map[api.Unit]*rack
 	permits *Permits
+	// coordinatorEpoch is the highest epoch of a coordinator that sent orders.
+	coordinatorEpoch api.Epoch
 	// reachable counts workers that answered their last inventory, for metrics.
 	reachable atomic.Int64
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +24,8 @@
 	Region     string `long:"region" env:"BRONZEHOOK_REGION" description:"region of this instance"`
 	DataCentre string `long:"data-centre" env:"BRONZEHOOK_DATA_CENTRE" description:"data centre of this instance"`
 
+	Regions []string `long:"regions" env:"BRONZEHOOK_REGIONS" env-delim:"," description:"all regions of the fleet, the same on all instances; repeat the flag for each"`
+
 	CallerAddr   string `long:"caller-addr" env:"BRONZEHOOK_CALLER_ADDR" default:"127.0.0.1:8080" description:"IP address and port for callers (HTTP)"`
 	OperatorAddr string `long:"operator-addr" env:"BRONZEHOOK_OPERATOR_ADDR" default:"127.0.0.1:8081" description:"IP address and port for operators, metrics and readiness (HTTP)"`
 	PeerAddr     string `long:"peer-addr" env:"BRONZEHOOK_PEER_ADDR" default:"127.0.0.1:8082" description:"IP address and port for other instances (QUIC)"`
@@ -100,6 +104,9 @@
 	setDefault(&s.ID, "dev-1")
 	setDefault(&s.Region, "local")
 	setDefault(&s.DataCentre, "local-1")
+	if len(s.Regions) == 0 {
+		s.Regions = []string{s.Region}
+	}
 }
 
 func setDefault(field *string, value string) {
@@ -111,6 +118,7 @@
 func (s *Settings) validate() error {
 	checks := []error{
 		required("id", s.ID), required("region", s.Region), required("data-centre", s.DataCentre),
+		member("regions", s.Regions, s.Region),
 		address("caller-addr", s.CallerAddr), address("operator-addr", s.OperatorAddr), address("peer-addr", s.PeerAddr),
 		duration("stop-timeout", s.StopTimeout, time.Second, 10*time.Minute),
 		duration("hold", s.Hold, time.Second, 5*time.Minute),
@@ -143,6 +151,13 @@
 	return nil
 }
 
+func member(flag string, list []string, value string) error {
+	if !slices.Contains(list, value) {
+		return invalid(flag, strings.Join(list, ","), "the names of all regions, "+value+" among them")
+	}
+	return nil
+}
+
 func address(flag, value string) error {
 	host, _, err := net.SplitHostPort(value)
 	if err != nil || net.ParseIP(host) == nil {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -15,6 +15,9 @@
 	}{
 		{"a missing name must stop the start", []string{"--platform-url=http://127.0.0.1:1"},
 			InvalidError{Flag: "id", Accepted: "a text that is not empty"}},
+		{"an instance whose region is missing from the list would hash request keys differently from the others",
+			[]string{"--dev", "--regions=a", "--regions=b"},
+			InvalidError{Flag: "regions", Value: "a,b", Accepted: "the names of all regions, local among them"}},
 		{"a host name must not pass as an IP address", []string{"--dev", "--peer-addr=localhost:1"},
 			InvalidError{Flag: "peer-addr", Value: "localhost:1", Accepted: "an IP address and a port, for example 127.0.0.1:8080"}},
 		{"a hold that never ends must not be accepted", []string{"--dev", "--hold=6m"},
@@ -22,7 +25,7 @@
 		{"a key without its certificate must not start in plain HTTP", []string{"--dev", "--caller-key=missing.pem"},
 			InvalidError{Flag: "caller-cert", Accepted: "a PEM file, because --caller-key is set"}},
 		{"operators must authenticate outside dev mode",
-			[]string{"--id=a", "--region=r", "--data-centre=d", "--platform-url=http://127.0.0.1:1"},
+			[]string{"--id=a", "--region=r", "--regions=r", "--data-centre=d", "--platform-url=http://127.0.0.1:1"},
 			InvalidError{Flag: "operator-token", Accepted: "a text that is not empty"}},
 	}
 	for _, tc := range cases {
