--- a/ctl/folder.go
+++ b/ctl/folder.go
@@ -55,6 +55,17 @@
 	return nil
 }
 
+// areAhead reports whether a base is later than the fleet's revision. Revisions never go down, so such a base was made
+// with another fleet, for example an earlier one of --dev.
+func (b bases) areAhead(revision uint64) bool {
+	for _, from := range b {
+		if from.Version > revision {
+			return true
+		}
+	}
+	return false
+}
+
 func (b bases) write(dir string) error {
 	data, err := json.MarshalIndent(b, "", "  ")
 	if err != nil {
@@ -146,6 +157,10 @@
 	if err := a.client.get(a.ctx, "/v1/files", &recorded); err != nil {
 		return plan{}, err
 	}
+	if recorded.Confirmed && known.areAhead(recorded.Revision) {
+		a.notice("%s belongs to another fleet and is ignored: this one is at revision %d", baseFile, recorded.Revision)
+		known = nil
+	}
 	p := makePlan(local, known, recorded.Files, options)
 	p.revision = recorded.Revision
 	for _, name := range p.outdated {
