Restart changed services, keep watchers alive, keep what was learned

Cause: a changed command of a running service never took effect; a service or watcher that ended by itself or failed ten times was never started again; a lost order to stop was not repeated; after a stop the task stayed marked as stopping and was not placed again.

Ruled out: restarting all tasks of a service at once; parts of a job keep the statement that they were started from.

Change: a statement digest in the task record; one task of a service at a time; only jobs are given up; stops repeat every 5 s; restarts for drains and changes do not count as evictions; learned models in the object store.

Before/after: TestChangedServiceRestartsOneTaskAtATime was red (the task stayed pending after its stop), TestServicesAndWatchersAreStartedAgain and TestStopIsRepeated cover the others; all green with the race detector.

Conclusion: an accepted change takes effect on running work too.

--- a/api/work.go
+++ b/api/work.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says what a piece of work is.
@@ -38,6 +40,18 @@
 	File string `json:"file" cbor:"11,keyasint"`
 }
 
+// Statement returns a digest of what a running attempt depends on: the declared resources, the regions and the command.
+// A service or watcher whose statement changes is started anew.
+func (s *Spec) Statement() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{s.Resources.String(), strings.Join(s.Regions, "\x00"), strings.Join(s.Command, "\x00")} {
+		// Writing to a hash never fails.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString("\x01")
+	}
+	return digest.Sum64()
+}
+
 // Team is an owner of work with its quota.
 type Team struct {
 	Name string `json:"name" cbor:"1,keyasint"`
@@ -127,6 +141,8 @@
 	Reason string `json:"reason,omitempty" cbor:"13,keyasint,omitempty"`
 	// Unit is the rack of Worker. It is kept because the directory may no longer list the worker.
 	Unit Unit `json:"unit,omitzero" cbor:"14,keyasint,omitzero"`
+	// Statement is the digest of what the attempt was started from; see Spec.Statement.
+	Statement uint64 `json:"statement,omitempty" cbor:"15,keyasint,omitempty"`
 }
 
 // Endpoint is one running task of a service that answers requests.
--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -129,7 +129,6 @@
 			known.seen = runner.AttemptReport{}
 			known.seenAt = now
 			known.assignedAt = now
-			known.stopping = false
 			c.order(t, known)
 		}
 		if known.deleting && known.running() && !known.stopping {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -26,14 +26,17 @@
 	maxBatch = 50
 	// seenTimeout is how long a recorded assignment may go without a report before its owner is asked about it.
 	seenTimeout = 4 * time.Second
+	// stopRetry is how long an attempt that was told to stop may go on before it is told again. The message may have been
+	// lost, or the checkpoint failed; the owner of the rack ignores repetitions while it is at it.
+	stopRetry = 5 * time.Second
 	// orderTimeout bounds one message to the owner of racks.
 	orderTimeout = 2 * time.Second
 	// commitTimeout bounds one try of a transaction.
 	commitTimeout = 3 * time.Second
 	// retryDelay is the wait before a transaction with an unknown result is tried again under the same operation id.
 	retryDelay = 500 * time.Millisecond
-	// MaxFailures is the number of failed attempts after which a task is given up.
-	MaxFailures = 10
+	// stableRun is how long an attempt of a service or watcher must have run for its earlier failures to be forgotten.
+	stableRun = time.Minute
 )
 
 // Claim is what the coordinator needs to know of a unit's owner.
@@ -77,6 +80,7 @@
 	Clock   clockwork.Clock
 	Loop    runner.Loop
 	Table   platform.Table
+	Objects platform.Objects
 	Cluster Cluster
 	Sender  Sender
 	Logger  zerolog.Logger
@@ -133,8 +137,11 @@
 	startedAt  time.Time
 	// orphanedSince is when the rack of the attempt was first found without an owner; zero while it has one.
 	orphanedSince time.Time
-	// stopping is set once the attempt was told to stop.
+	// stopping is set once the attempt was told to stop, at stopAt.
 	stopping bool
+	stopAt   time.Time
+	// forced is set if the attempt was told to stop for a reason that does not count as an eviction.
+	forced   bool
 	throttle float64
 }
 
@@ -154,6 +161,7 @@
 // Start begins the scheduling cycles; they do nothing while the duty is not held.
 func (c *Coordinator) Start(context.Context) error {
 	c.options.Loop.Every(CycleInterval, c.cycle)
+	c.options.Loop.Every(learnedInterval, c.saveLearned)
 	return nil
 }
 
@@ -180,6 +188,7 @@
 	c.term = t
 	c.log.Info().Uint64(logging.KeyEpoch, uint64(epoch)).Msg("coordinator duty claimed")
 	c.load(t)
+	c.restoreLearned(t)
 }
 
 // Lost ends the term. It is called on the control goroutine.
@@ -236,7 +245,7 @@
 	c.log.Info().Int("tasks", len(t.tasks)).Uint64(logging.KeyEpoch, uint64(t.epoch)).Msg("task records loaded")
 }
 
-// cycle brings tasks in line with the configuration, asks about silent attempts, decides, writes and sends.
+// cycle brings tasks in line with the configuration, watches running attempts, decides, writes and sends.
 func (c *Coordinator) cycle() {
 	t := c.term
 	if t == nil || !t.loaded {
@@ -253,7 +262,7 @@
 		c.reconcile(t, work)
 		t.revision = work.Revision
 	}
-	c.askAboutSilent(t)
+	c.watchAttempts(t)
 	c.decide(t, work)
 	c.commit(t)
 	c.send(t)
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -181,3 +181,83 @@
 		}
 	})
 }
+
+func running(index int, attempt uint64) runner.AttemptReport {
+	ref := runner.Ref{Task: api.NewTaskID("plan", index), Attempt: attempt}
+	return runner.AttemptReport{Ref: ref, Worker: "w1", State: api.SeenRunning}
+}
+
+// Guards against a watcher that stays ended because it ended by itself, and a service that is given up after failures.
+func TestServicesAndWatchersAreStartedAgain(t *testing.T) {
+	for _, kind := range []api.Kind{api.KindService, api.KindWatcher} {
+		for _, end := range []api.SeenState{api.SeenSucceeded, api.SeenFailed} {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setWork(api.Spec{Name: "plan", Kind: kind, Replicas: 1})
+				time.Sleep(time.Second)
+				const ends = 12
+				for attempt := range uint64(ends) {
+					report := succeeded(attempt + 1)
+					report.State = end
+					h.report(t, false, report)
+					time.Sleep(time.Second)
+				}
+				if got := len(h.assignments()); got != ends+1 {
+					t.Errorf("%s that %s: %d assignments, want %d", kind, end, got, ends+1)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a change of a running service that never takes effect, or that stops all of its tasks at once.
+func TestChangedServiceRestartsOneTaskAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setWork(api.Spec{Name: "plan", Kind: api.KindService, Replicas: 3, Command: []string{"v1"}})
+		time.Sleep(time.Second)
+		h.report(t, false, stopped(1, false, ""))
+		time.Sleep(time.Second)
+		h.report(t, false, running(0, 2), running(1, 1), running(2, 1))
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		before := len(h.steps)
+		h.mu.Unlock()
+		h.setWork(api.Spec{Name: "plan", Kind: api.KindService, Replicas: 3, Command: []string{"v2"}})
+		time.Sleep(5 * time.Second)
+		h.mu.Lock()
+		steps := h.steps[before:]
+		h.mu.Unlock()
+		if len(steps) != 1 || steps[0].Action != runner.ActionStop {
+			t.Fatalf("interventions = %+v, want one stop", steps)
+		}
+		end := running(0, 0)
+		end.Ref, end.State, end.Evicted = steps[0].Ref, api.SeenStopped, true
+		h.report(t, false, end)
+		time.Sleep(time.Second)
+		record, _ := h.table.task(t, steps[0].Task)
+		if record.Attempt != steps[0].Attempt+1 || record.Evictions != 0 {
+			t.Errorf("record = %+v, want the next attempt without an eviction", record)
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if last := h.orders[len(h.orders)-1]; !cmp.Equal(last.Command, []string{"v2"}) {
+			t.Errorf("command = %v, want the changed one", last.Command)
+		}
+	})
+}
+
+// Guards against work that goes on after its removal because the order to stop it was lost.
+func TestStopIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.report(t, false, running(0, 1))
+		h.setReplicas(0)
+		time.Sleep(3 * stopRetry)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if len(h.steps) < 2 {
+			t.Errorf("%d orders to stop in %s, want at least 2", len(h.steps), 3*stopRetry)
+		}
+	})
+}
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -29,6 +29,8 @@
 	Progress float64
 	// Throttle is the share of its processors that the task keeps.
 	Throttle float64
+	// Outdated is set if a service or watcher runs under an earlier statement of its work.
+	Outdated bool
 	// Busy is set while a change of the task is under way, so that no decision may touch it.
 	Busy bool
 }
@@ -55,6 +57,8 @@
 	Action runner.Action
 	Share  float64
 	Reason string
+	// Forced is set if the end of the attempt does not count as an eviction.
+	Forced bool
 }
 
 // Decision is what a cycle wants done.
@@ -74,6 +78,9 @@
 	Observe(now time.Time, usage []runner.UsageReport)
 	// Ended takes the end of an attempt after the time that it ran, for what is learned about workers, sizes and run times.
 	Ended(now time.Time, task api.Task, report runner.AttemptReport, ran time.Duration)
+	// Export returns what was learned, and Restore replaces it by exported content.
+	Export() ([]byte, error)
+	Restore(data []byte) error
 }
 
 func (c *Coordinator) decide(t *term, work *api.WorkSet) {
@@ -92,12 +99,13 @@
 	for id, reason := range decision.Impossible {
 		c.giveUp(t, id, reason)
 	}
-	c.emptyDrained(t, view, workers)
+	c.restart(t, view, workers)
 }
 
-// emptyDrained moves tasks off workers that leave or are drained. Batch work and watchers resume from a checkpoint. Of
-// each service one task at a time is stopped, so that the others keep answering.
-func (c *Coordinator) emptyDrained(t *term, view View, workers map[api.WorkerID]WorkerView) {
+// restart ends attempts that have to run elsewhere, because their worker leaves or is drained, or anew, because their
+// work was stated differently. Batch work and watchers on a drained worker resume from a checkpoint. Of each service one
+// task at a time is stopped, so that the others keep answering.
+func (c *Coordinator) restart(t *term, view View, workers map[api.WorkerID]WorkerView) {
 	moving := map[string]bool{}
 	for i := range view.Tasks {
 		v := &view.Tasks[i]
@@ -107,22 +115,31 @@
 	}
 	for i := range view.Tasks {
 		v := &view.Tasks[i]
-		if v.Wanted != api.WantedAssigned || v.Busy || !workers[v.Worker].Drained {
+		drained := workers[v.Worker].Drained
+		if v.Wanted != api.WantedAssigned || v.Busy || !drained && !v.Outdated {
 			continue
 		}
-		if v.Kind != api.KindService {
-			c.reclaim(t, Reclaim{Task: v.ID, Action: runner.ActionEvict, Reason: reasonDrained})
-			continue
+		step := Reclaim{Task: v.ID, Action: runner.ActionStop, Reason: reasonOutdated, Forced: true}
+		if drained {
+			step.Reason = reasonDrained
 		}
-		if !moving[v.Work] {
+		if v.Kind == api.KindService {
+			if moving[v.Work] {
+				continue
+			}
 			moving[v.Work] = true
-			c.reclaim(t, Reclaim{Task: v.ID, Action: runner.ActionStop, Reason: reasonDrained})
+		} else if drained {
+			step.Action = runner.ActionEvict
 		}
+		c.reclaim(t, step)
 	}
 }
 
-// reasonDrained is the reason of attempts that are moved off a worker.
-const reasonDrained = "the worker leaves or is drained"
+// Reasons of attempts that restart.
+const (
+	reasonDrained  = "the worker leaves or is drained"
+	reasonOutdated = "the work was stated differently"
+)
 
 func (c *Coordinator) view(t *term, work *api.WorkSet) View {
 	view := View{Now: c.options.Clock.Now(), Work: work}
@@ -136,10 +153,18 @@
 			Worker: w, Unit: unit, Epoch: claim.Epoch, Usable: usable, Drained: w.Leaving || report.Leaving || drained[w.ID],
 		})
 	}
+	statements := make(map[string]uint64, len(work.Specs))
+	for name, spec := range work.Specs {
+		if spec.Kind != api.KindJob {
+			statements[name] = spec.Statement()
+		}
+	}
 	for _, known := range t.tasks {
+		statement, restarts := statements[known.row.Work]
 		view.Tasks = append(view.Tasks, TaskView{
 			Task: known.latest(), Kind: work.Specs[known.row.Work].Kind, Seen: known.seen.State, Started: known.startedAt,
 			Progress: known.seen.Progress, Throttle: known.throttle, Busy: !known.idle() || known.stopping,
+			Outdated: restarts && known.row.Statement != statement,
 		})
 	}
 	return view
@@ -157,6 +182,9 @@
 	row.Unit = w.Unit
 	row.Epoch = w.Epoch
 	row.Resources = placement.Resources
+	if spec, ok := c.options.Cluster.Work().Specs[row.Work]; ok {
+		row.Statement = spec.Statement()
+	}
 	row.Reason = ""
 	known.write(row)
 }
@@ -169,7 +197,7 @@
 	if reclaim.Action == runner.ActionThrottle {
 		known.throttle = reclaim.Share
 	}
-	c.interveneOn(t, known, reclaim.Action, reclaim.Share, reclaim.Reason)
+	c.interveneOn(t, known, reclaim.Action, reclaim.Share, reclaim.Reason, reclaim.Forced)
 }
 
 // giveUp records that a task can never run.
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -235,3 +235,9 @@
 		}
 	}
 }
+
+// Export implements Decider.
+func (d *EngineDecider) Export() ([]byte, error) { return d.engine.Export() }
+
+// Restore implements Decider.
+func (d *EngineDecider) Restore(data []byte) error { return d.engine.Restore(data) }
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -122,6 +122,7 @@
 	work    *api.WorkSet
 	owned   bool
 	orders  []runner.Assignment
+	steps   []runner.Intervention
 	queries []runner.Query
 	ops     int
 	// ordered is called for each assignment, before the reply.
@@ -144,7 +145,7 @@
 		t.Fatal(err)
 	}
 	h.Coordinator = New(Options{
-		Self: "i1", Clock: clock, Loop: h.loop, Table: h.table, Cluster: h, Sender: h, Logger: zerolog.Nop(),
+		Self: "i1", Clock: clock, Loop: h.loop, Table: h.table, Objects: noObjects{}, Cluster: h, Sender: h, Logger: zerolog.Nop(),
 		Lease: testLease, NewOpID: h.newOpID, Audit: func(Event) {}, Decider: placeAll{},
 	})
 	if err := h.Start(t.Context()); err != nil {
@@ -177,6 +178,11 @@
 }
 
 func (h *harness) setReplicas(count int) {
+	h.setWork(api.Spec{Name: "plan", Kind: api.KindJob, Replicas: count})
+}
+
+// setWork puts a configuration in force that holds one piece of work, or none without replicas.
+func (h *harness) setWork(spec api.Spec) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	revision := uint64(1)
@@ -184,8 +190,8 @@
 		revision = h.work.Revision + 1
 	}
 	h.work = &api.WorkSet{Revision: revision, Specs: map[string]api.Spec{}}
-	if count > 0 {
-		h.work.Specs["plan"] = api.Spec{Name: "plan", Kind: api.KindJob, Replicas: count}
+	if spec.Replicas > 0 {
+		h.work.Specs[spec.Name] = spec
 	}
 }
 
@@ -232,6 +238,7 @@
 	}
 	h.orders = append(h.orders, orders.Assignments...)
 	h.queries = append(h.queries, orders.Queries...)
+	h.steps = append(h.steps, orders.Interventions...)
 	return nil, nil
 }
 
@@ -264,6 +271,15 @@
 	return reply
 }
 
+// noObjects is an empty object store.
+type noObjects struct{}
+
+func (noObjects) Put(context.Context, string, []byte) error { return nil }
+func (noObjects) Get(context.Context, string) ([]byte, error) {
+	return nil, fault.New(fault.CodeNotFound, "fake objects", "empty")
+}
+func (noObjects) Delete(context.Context, string) error { return nil }
+
 // placeAll places every pending task on the first usable worker.
 type placeAll struct{}
 
@@ -283,6 +299,8 @@
 	return decision
 }
 
+func (placeAll) Export() ([]byte, error)                                        { return nil, nil }
+func (placeAll) Restore([]byte) error                                           { return nil }
 func (placeAll) Reason(api.TaskID) string                                       { return "" }
 func (placeAll) Observe(time.Time, []runner.UsageReport)                        {}
 func (placeAll) Ended(time.Time, api.Task, runner.AttemptReport, time.Duration) {}
--- a/coordinator/reconcile.go
+++ b/coordinator/reconcile.go
@@ -82,10 +82,12 @@
 
 // stop tells the owner of the rack to stop the current attempt.
 func (c *Coordinator) stop(t *term, known *task, reason string) {
-	c.interveneOn(t, known, runner.ActionStop, 0, reason)
+	c.interveneOn(t, known, runner.ActionStop, 0, reason, true)
 }
 
-func (c *Coordinator) interveneOn(t *term, known *task, action runner.Action, share float64, reason string) {
+func (c *Coordinator) interveneOn(
+	t *term, known *task, action runner.Action, share float64, reason string, forced bool,
+) {
 	claim, ok := c.options.Cluster.Claim(known.row.Unit)
 	if !ok {
 		return
@@ -97,5 +99,7 @@
 	})
 	if action == runner.ActionEvict || action == runner.ActionStop {
 		known.stopping = true
+		known.stopAt = c.options.Clock.Now()
+		known.forced = forced
 	}
 }
--- a/coordinator/reports.go
+++ b/coordinator/reports.go
@@ -71,6 +71,13 @@
 
 // attemptEnded decides what follows from the end of an attempt and asks for the record to be written.
 func (c *Coordinator) attemptEnded(known *task, report runner.AttemptReport) {
+	now := c.options.Clock.Now()
+	ran := time.Duration(0)
+	if !known.startedAt.IsZero() {
+		ran = now.Sub(known.startedAt)
+	}
+	known.startedAt = time.Time{}
+	isJob := c.isJob(known.row.Work)
 	row := known.row
 	row.Reason = report.Reason
 	if report.Checkpoint != "" {
@@ -83,45 +90,52 @@
 	switch {
 	case known.deleting:
 		row.Wanted = api.WantedCanceled
-	case report.State == api.SeenSucceeded:
+	case report.State == api.SeenSucceeded && isJob:
 		row.Wanted = api.WantedDone
 		action = "task-done"
 	case report.State == api.SeenFailed:
+		if !isJob && ran >= stableRun {
+			row.Failures = 0
+		}
 		row.Failures++
 		action = "attempt-failed"
-		if row.Failures >= MaxFailures {
-			row.Wanted = api.WantedFailed
-			action = "task-failed"
-		}
-	case report.Evicted:
+	case report.Evicted && !known.forced:
 		row.Evictions++
 		action = "task-evicted"
 	}
+	known.stopping = false
+	known.forced = false
 	known.write(row)
-	now := c.options.Clock.Now()
-	ran := time.Duration(0)
-	if !known.startedAt.IsZero() {
-		ran = now.Sub(known.startedAt)
-	}
-	known.startedAt = time.Time{}
 	c.options.Decider.Ended(now, known.row, report, ran)
 	c.note(action, known.row, report.Reason)
 }
 
+// isJob reports whether the work ends by itself. Services and watchers are started again whenever an attempt ends.
+func (c *Coordinator) isJob(work string) bool {
+	set := c.options.Cluster.Work()
+	return set != nil && set.Specs[work].Kind == api.KindJob
+}
+
 func (c *Coordinator) note(action string, row api.Task, reason string) {
 	c.log.Info().Str("action", action).Str(logging.KeyTask, string(row.ID)).Uint64(logging.KeyAttempt, row.Attempt).
 		Str(logging.KeyWorker, string(row.Worker)).Str(logging.KeyReason, reason).Msg("task changed")
 	c.options.Audit(Event{Action: action, Task: row.ID, Attempt: row.Attempt, Worker: row.Worker, Reason: reason})
 }
 
-// askAboutSilent asks the owners of racks about assigned attempts that no report has named for a while. Reports and
-// orders may be lost, and a worker may have vanished from every list.
-func (c *Coordinator) askAboutSilent(t *term) {
+// watchAttempts repeats stops that had no effect, and asks the owners of racks about assigned attempts that no report has
+// named for a while. Reports and orders may be lost, and a worker may have vanished from every list.
+func (c *Coordinator) watchAttempts(t *term) {
 	now := c.options.Clock.Now()
 	for id, known := range t.tasks {
 		if !known.running() || known.next != nil || known.inFlight {
 			continue
 		}
+		if known.stopping && now.Sub(known.stopAt) >= stopRetry {
+			known.stopping = false
+		}
+		if known.deleting && !known.stopping {
+			c.stop(t, known, "the work was removed")
+		}
 		claim, ok := c.options.Cluster.Claim(known.row.Unit)
 		if !ok {
 			c.watchOrphan(known, now)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -172,7 +172,7 @@
 		Logger: i.log, Lease: o.TaskLease, Hold: o.Hold, EndpointsChanged: i.endpoints.setOwn,
 	})
 	i.coordinator = coordinator.New(coordinator.Options{
-		Self: o.Self.ID, Clock: o.Clock, Loop: i.loop, Table: i.store, Cluster: i, Sender: i, Logger: i.log,
+		Self: o.Self.ID, Clock: o.Clock, Loop: i.loop, Table: i.store, Objects: o.Objects, Cluster: i, Sender: i, Logger: i.log,
 		Lease: o.TaskLease, NewOpID: rollout.NewOpID, Audit: i.auditTask,
 		Decider: coordinator.NewEngineDecider(scheduler.DefaultOptions(), i.session),
 	})
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -181,7 +181,7 @@
 		c.refuse(Refusal{Task: id, Cause: queue.CauseRunning, Reason: "an attempt of the task has not ended"})
 		return
 	}
-	if reason, giveUp := c.Quarantine.GiveUp(&item.Task); giveUp {
+	if reason, giveUp := c.Quarantine.GiveUp(&item.Task); giveUp && item.Spec.Kind == api.KindJob {
 		c.plan.Failures = append(c.plan.Failures, Failure{Task: id, Reason: reason})
 		return
 	}
