Keep the command line's sessions apart from trials of the example

Ruled out: a fault of the product; the base file is not part of the example.

Change: the sessions remove the base file after the copy; no check changed.

Before/after: red after a trial of the example, green now in both states.

Conclusion: the verdict no longer depends on what was tried before.

--- a/ctl/session_test.go
+++ b/ctl/session_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -181,7 +182,11 @@
 			env.Values["fleet"] = f
 			env.Setenv("TOKEN", "secret")
 			env.Setenv("AUTHOR", "ann")
-			return os.CopyFS(env.WorkDir+"/first", os.DirFS("../examples/first"))
+			if err := os.CopyFS(env.WorkDir+"/first", os.DirFS("../examples/first")); err != nil {
+				return err
+			}
+			// A trial of the example leaves base versions of its fleet behind; the sessions begin without.
+			return os.RemoveAll(filepath.Join(env.WorkDir, "first", baseFile))
 		},
 	})
 }
