--- a/instance/instance.go
+++ b/instance/instance.go
@@ -223,8 +223,9 @@
 // Ready returns why the instance must not get requests, or nil.
 func (i *Instance) Ready() error { return i.gate.ready() }
 
-// Stop is the planned stop: readiness falls, units are handed over, requests in flight finish, services end. The context
-// bounds all of it.
+// Stop is the planned stop: readiness falls, requests in flight finish, units are handed over, services end. The context
+// bounds all of it. Callers' requests finish before the hand-over, because one that waits for a slot would otherwise be
+// refused when its worker changes hands.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.stopping.Store(true)
 	i.members.SetLeaving()
@@ -233,10 +234,8 @@
 	case <-ctx.Done():
 	case <-i.options.Clock.After(balancerDelay):
 	}
-	drained := make(chan error, 1)
-	go func() { drained <- i.gateway.Stop(ctx) }()
-	handover := i.owners.HandOver(ctx)
-	err := errors.CombineErrors(<-drained, handover)
+	err := i.gateway.Stop(ctx)
+	err = errors.CombineErrors(err, i.owners.HandOver(ctx))
 	err = errors.CombineErrors(err, i.kernel.Stop(ctx))
 	i.ledger.Close()
 	i.log.Info().Msg("stop done")
--- a/instance/view.go
+++ b/instance/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -78,7 +79,8 @@
 	v.quotas.Set(work.Teams, len(live)+1)
 }
 
-// usable leaves out endpoints of owners that are not heard, and of each task all but the entry of the latest owner.
+// usable leaves out endpoints of owners that are not heard, of each task all but the entry of the latest owner, and
+// endpoints of owners that leave where a service has others: their racks are about to be handed over.
 func (v *viewService) usable(endpoints []api.Endpoint, members *membership.View) []api.Endpoint {
 	latest := make(map[api.TaskID]api.Endpoint, len(endpoints))
 	for _, e := range endpoints {
@@ -89,13 +91,16 @@
 			latest[e.Task] = e
 		}
 	}
-	kept := endpoints[:0]
+	kept := make([]api.Endpoint, 0, len(latest))
+	stays := map[string]bool{}
+	leaving := func(e api.Endpoint) bool { return members.Members[e.Owner].Status == membership.StatusLeaving }
 	for _, e := range endpoints {
 		if latest[e.Task] == e {
 			kept = append(kept, e)
+			stays[e.Service] = stays[e.Service] || !leaving(e) && !e.Leaving
 		}
 	}
-	return kept
+	return slices.DeleteFunc(kept, func(e api.Endpoint) bool { return leaving(e) && stays[e.Service] })
 }
 
 // gate keeps new work away while this instance may not take it.
