Replace a dead coordinator after 3 s without heartbeat and renewal

Ruled out: a shorter Hold for all units; racks and shards need the whole rule, because their owners act without the table.

Change: Rule.StallTime; the coordinator unit is free once its holder is not heard and its session row has not changed for 3 s. The claim stays conditional on the session row, and each act on the unit row.

Conclusion: being wrong about a coordinator costs a reload, never a double start, so the shorter rule is enough.

--- a/authority/authority.go
+++ b/authority/authority.go
@@ -36,6 +36,11 @@
 // differ by lag still decide on a common list.
 func (r Rule) Silence() time.Duration { return r.Hold + Margin }
 
+// StallTime is the time without a change of the session row after which a holder of the coordinator unit that is not
+// heard either may be replaced. Urgent work has to start within 8.7 s, also after the death of the coordinator, which
+// leaves no time for Silence. It is safe to be wrong: each act of a coordinator is conditional on its unit row.
+func (r Rule) StallTime() time.Duration { return min(r.Silence(), 3*time.Second) }
+
 // othersToHold returns the number of other instances that have to hear a holder in a region of n: with itself, a strict
 // majority.
 func othersToHold(n int) int { return n / 2 }
--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -349,3 +349,28 @@
 	}
 	t.Logf("%d verdicts", total)
 }
+
+// Guards against a coordinator whose death delays urgent starts beyond 8.7 s, and against one that is replaced although
+// it renews its session.
+func TestRowStallsBeforeItLapses(t *testing.T) {
+	observer := NewObserver(Rule{Hold: DefaultHold})
+	observer.SessionSeen("a", 1, 0, 100*time.Millisecond)
+	cases := []struct {
+		name    string
+		version uint64
+		at      time.Duration
+		stalled bool
+		lapsed  bool
+	}{
+		{"one missed renewal must not count", 1, 2 * time.Second, false, false},
+		{"a row without change must stall before it lapses", 1, 3200 * time.Millisecond, true, false},
+		{"a renewal must end the stall", 2, 3300 * time.Millisecond, false, false},
+		{"a longer silence must lapse", 2, 10 * time.Second, true, true},
+	}
+	for _, tc := range cases {
+		observer.SessionSeen("a", tc.version, tc.at, tc.at)
+		if stalled, lapsed := observer.RowStalled("a", tc.at), observer.RowLapsed("a", tc.at); stalled != tc.stalled || lapsed != tc.lapsed {
+			t.Errorf("%s: stalled %v, lapsed %v", tc.name, stalled, lapsed)
+		}
+	}
+}
--- a/authority/observer.go
+++ b/authority/observer.go
@@ -80,6 +80,12 @@
 	return known && now-row.unchanged.to <= maxVerdictAge && row.unchanged.to-row.unchanged.from >= o.rule.Silence()
 }
 
+// RowStalled reports whether an instance's session row has not changed for StallTime.
+func (o *Observer) RowStalled(id api.InstanceID, now time.Duration) bool {
+	row, known := o.rows[id]
+	return known && now-row.unchanged.to <= maxVerdictAge && row.unchanged.to-row.unchanged.from >= o.rule.StallTime()
+}
+
 // Lapsed reports whether an instance of a region has lapsed: there is a recent time at which its session row had not
 // changed, and enough instances of the region had not heard it, for Hold and margin.
 func (o *Observer) Lapsed(id api.InstanceID, region string, now time.Duration) bool {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -249,4 +249,4 @@
 	}
 }
 
-func lapsedAny(m Member) bool { return m.Lapsed || m.RowLapsed }
+func lapsedAny(m Member) bool { return m.Lapsed || m.CoordinatorGone() }
--- a/membership/view.go
+++ b/membership/view.go
@@ -40,13 +40,21 @@
 	// Lapsed is set while the rule of package authority treats the instance as lapsed, and RowLapsed while its session row
 	// alone has not changed for long enough to claim the coordinator unit. Both concern the session row at RowVersion,
 	// which a claim must state as a condition.
-	Lapsed     bool
-	RowLapsed  bool
+	Lapsed    bool
+	RowLapsed bool
+	// RowStalled is set while the session row has not changed for authority.Rule.StallTime.
+	RowStalled bool
 	RowVersion uint64
 	// RowSession is the session that the row names; 0 if there is no row.
 	RowSession uint64
 }
 
+// CoordinatorGone reports whether the coordinator unit may be taken from the instance: its session row alone proves that
+// it has lapsed, or it is not heard and its row has stalled.
+func (m Member) CoordinatorGone() bool {
+	return m.RowLapsed || m.RowStalled && m.Status == StatusSuspect
+}
+
 // View is what this instance knows of the fleet at one time. It is not changed after it was published.
 type View struct {
 	// At is the monotonic reading at which the view was made.
@@ -133,6 +141,7 @@
 		StoreReachable:  p.last.Flags&flagStoreReachable != 0,
 		Lapsed:          s.observer.Lapsed(id, instance.Location.Region, now),
 		RowLapsed:       s.observer.RowLapsed(id, now),
+		RowStalled:      s.observer.RowStalled(id, now),
 		RowVersion:      s.observer.Version(id),
 		RowSession:      p.rowSession,
 	}
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -127,7 +127,7 @@
 	}
 	c.session, c.sessionVersion = row.Owner, m.RowVersion
 	replaced := m.RowSession != 0 && m.RowSession != row.Session
-	lapsed := m.Lapsed || unit == api.Coordinator && m.RowLapsed
+	lapsed := m.Lapsed || unit == api.Coordinator && m.CoordinatorGone()
 	return c, replaced || lapsed
 }
 
