Measure what an instance costs at several sizes

Ruled out: stand-ins in the measured process, because their processor time and heap would count as an instance's. The test binary starts itself as the process that serves them.

Change: package capacity holds benchmarks only; they do not run in go test ./...

--- /dev/null
+++ b/capacity/fleet_test.go
@@ -0,0 +1,176 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"bronzehook/api"
+	"bronzehook/instance"
+	"bronzehook/operator"
+	"bronzehook/peer"
+	"bronzehook/platform/httpplatform"
+	"bronzehook/platform/standin"
+)
+
+const (
+	benchSeed = 1
+	hold      = 5 * time.Second
+	taskLease = 30 * time.Second
+	// settleTimeout bounds the wait for instances to be ready and for tasks to run.
+	settleTimeout = 90 * time.Second
+	// idlePeriod is how long a steady state is measured. It holds whole periods of everything that repeats within 30 s.
+	idlePeriod = 30 * time.Second
+)
+
+// node is one instance with what it is measured by.
+type node struct {
+	*instance.Instance
+	socket                    *peer.FilterConn
+	table, directory, workers meter
+	reads, writes             atomic.Int64
+}
+
+// fleet is a number of instances in this process, against stand-ins in another one.
+type fleet struct {
+	url   string
+	nodes []*node
+}
+
+func startFleet(tb testing.TB, instances, workers int) *fleet {
+	tb.Helper()
+	f := &fleet{url: startSite(tb, workers)}
+	authority, err := peer.NewDevAuthority()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	for i := range instances {
+		f.nodes = append(f.nodes, f.newNode(tb, i, authority))
+	}
+	for _, n := range f.nodes {
+		if err := n.Start(context.Background()); err != nil {
+			tb.Fatal(err)
+		}
+		tb.Cleanup(func() { n.kill() })
+	}
+	f.await(tb, "instances are ready", func() bool {
+		for _, n := range f.nodes {
+			if n.Ready() != nil {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) newNode(tb testing.TB, index int, authority *peer.DevAuthority) *node {
+	socket, err := peer.ListenFiltered("127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	n := &node{socket: socket}
+	self := api.Instance{
+		ID: api.InstanceID(fmt.Sprintf("i%02d", index)), Addr: socket.LocalAddr().String(),
+		Location: dataCentres[index%len(dataCentres)],
+	}
+	identity, err := authority.TLS(self.ID)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	store := httpplatform.New(f.url, n.table.client(), 0)
+	f.put(tb, strings.Replace(standin.PathInstance, "{id}", string(self.ID), 1), self)
+	n.Instance = instance.New(instance.Options{
+		Self: self, Regions: regions, CallerAddr: "127.0.0.1:0", OperatorAddr: "127.0.0.1:0", PeerTLS: identity,
+		Table:   meteredTable{Table: store.Table(), reads: &n.reads, writes: &n.writes},
+		Objects: store.Objects(), Directory: httpplatform.New(f.url, n.directory.client(), 0).Directory(),
+		Workers: httpplatform.NewWorkers(n.workers.client(), 0), Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(),
+		Hold: hold, TaskLease: taskLease, StopTimeout: time.Second,
+		ListenPeer: func(string) (net.PacketConn, error) { return socket, nil },
+	})
+	return n
+}
+
+// kill ends an instance without the hand-over of a planned stop being waited for.
+func (n *node) kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.Stop(ctx)
+}
+
+func (f *fleet) await(tb testing.TB, what string, done func() bool) {
+	tb.Helper()
+	for end := time.Now().Add(settleTimeout); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatalf("gave up waiting until %s", what)
+		}
+	}
+}
+
+func (f *fleet) put(tb testing.TB, path string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, f.url+path, bytes.NewReader(data))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	exchange(tb, request, nil)
+}
+
+// apply records files through an instance and returns the revision.
+func (n *node) apply(tb testing.TB, edits []operator.FileEdit) uint64 {
+	tb.Helper()
+	data, err := json.Marshal(operator.ApplyRequest{Edits: edits, Author: "capacity"})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.OperatorAddr()+"/v1/apply", bytes.NewReader(data))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var answer operator.RevisionResponse
+	exchange(tb, request, &answer)
+	return answer.Revision
+}
+
+func (n *node) accepted(tb testing.TB, revision uint64) bool {
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v1/revision/%d", n.OperatorAddr(), revision), nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var answer operator.RevisionResponse
+	exchange(tb, request, &answer)
+	return answer.Accepted
+}
+
+func exchange(tb testing.TB, request *http.Request, into any) {
+	tb.Helper()
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode >= http.StatusBadRequest {
+		var text bytes.Buffer
+		_, _ = text.ReadFrom(answer.Body)
+		tb.Fatalf("%s %s: status %d: %s", request.Method, request.URL, answer.StatusCode, text.String())
+	}
+	if into != nil {
+		if err := json.NewDecoder(answer.Body).Decode(into); err != nil {
+			tb.Fatal(err)
+		}
+	}
+}
