Reuse the memory of the coordinator's views

Cause: each cycle, five a second, copied every task twice into slices grown from nothing. By profile at 9,300 tasks, growslice took 27% of the processor time and the garbage collector 36%.

Ruled out: the placement itself (Engine.Cycle: 6%) and the walk for silent attempts (3%).

A Decider keeps no part of a view, which its doc comment now states; the engine copies what it keeps.

The cycle still breaks the bound of 1% at the design size.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,6 +114,9 @@
 	// outbox holds orders that wait for the next send, by instance.
 	outbox  map[api.InstanceID]*runner.Orders
 	sending map[api.InstanceID]bool
+	// workerViews and taskViews are the memory of the last View. Allocating it anew took 10 MB a cycle at 9,300 tasks.
+	workerViews []WorkerView
+	taskViews   []TaskView
 }
 
 // task is the coordinator's state of one task.
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -33,7 +33,8 @@
 	Busy bool
 }
 
-// View is what a decision sees. It is not changed after it was handed out.
+// View is what a decision sees. It is not changed until the next cycle, which uses its memory again; a Decider keeps no
+// part of it.
 type View struct {
 	Now     time.Time
 	Work    *api.WorkSet
@@ -125,7 +126,7 @@
 const reasonDrained = "the worker leaves or is drained"
 
 func (c *Coordinator) view(t *term, work *api.WorkSet) View {
-	view := View{Now: c.options.Clock.Now(), Work: work}
+	view := View{Now: c.options.Clock.Now(), Work: work, Workers: t.workerViews[:0], Tasks: t.taskViews[:0]}
 	workers, drained := c.options.Cluster.Workers()
 	for _, w := range workers {
 		unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
@@ -142,6 +143,7 @@
 			Progress: known.seen.Progress, Throttle: known.throttle, Busy: !known.idle() || known.stopping,
 		})
 	}
+	t.workerViews, t.taskViews = view.Workers, view.Tasks
 	return view
 }
 
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -26,6 +26,8 @@
 	fleet int
 	usage map[api.TaskID]usage
 	steps map[api.TaskID]step
+	// last is the snapshot of the last cycle, whose memory the next one uses again.
+	last scheduler.Snapshot
 }
 
 // usage is the last measured use of an attempt.
@@ -63,7 +65,9 @@
 }
 
 func (d *EngineDecider) snapshot(view View) *scheduler.Snapshot {
-	s := &scheduler.Snapshot{Revision: d.revision, Specs: view.Work.Specs, Teams: view.Work.Teams}
+	s := &d.last
+	s.Revision, s.Specs, s.Teams = d.revision, view.Work.Specs, view.Work.Teams
+	s.Workers, s.Tasks = s.Workers[:0], s.Tasks[:0]
 	for _, w := range view.Workers {
 		d.workers[w.ID] = w.Worker
 		s.Workers = append(s.Workers, scheduler.Worker{
