Build the view of routing only when its inputs have changed

Ruled out: a longer interval, because members, drains and workers that leave are learned in it.

Change: once a second the workers, members, drains and the configuration are compared with those of the last view; changed endpoints and units still set viewStale at once.

--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -36,6 +36,7 @@
 // node is one instance with what it is measured by.
 type node struct {
 	*instance.Instance
+	id                        api.InstanceID
 	socket                    *peer.FilterConn
 	table, directory, workers meter
 	reads, writes             atomic.Int64
@@ -45,11 +46,13 @@
 type fleet struct {
 	url   string
 	nodes []*node
+	// observer is the benchmark's own way to the platform.
+	observer *http.Client
 }
 
 func startFleet(tb testing.TB, instances, workers int) *fleet {
 	tb.Helper()
-	f := &fleet{url: startSite(tb, workers)}
+	f := &fleet{url: startSite(tb, workers), observer: (&meter{}).client()}
 	authority, err := peer.NewDevAuthority()
 	if err != nil {
 		tb.Fatal(err)
@@ -61,8 +64,8 @@
 		if err := n.Start(context.Background()); err != nil {
 			tb.Fatal(err)
 		}
-		tb.Cleanup(func() { n.kill() })
 	}
+	tb.Cleanup(f.stop)
 	f.await(tb, "instances are ready", func() bool {
 		for _, n := range f.nodes {
 			if n.Ready() != nil {
@@ -79,9 +82,9 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	n := &node{socket: socket}
+	n := &node{socket: socket, id: api.InstanceID(fmt.Sprintf("i%02d", index))}
 	self := api.Instance{
-		ID: api.InstanceID(fmt.Sprintf("i%02d", index)), Addr: socket.LocalAddr().String(),
+		ID: n.id, Addr: socket.LocalAddr().String(),
 		Location: dataCentres[index%len(dataCentres)],
 	}
 	identity, err := authority.TLS(self.ID)
@@ -101,11 +104,14 @@
 	return n
 }
 
-// kill ends an instance without the hand-over of a planned stop being waited for.
-func (n *node) kill() {
+// stop ends all instances without the hand-over of a planned stop being waited for.
+func (f *fleet) stop() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = n.Stop(ctx)
+	for _, n := range f.nodes {
+		_ = n.Stop(ctx)
+	}
+	f.nodes = nil
 }
 
 func (f *fleet) await(tb testing.TB, what string, done func() bool) {
--- a/capacity/idle_test.go
+++ b/capacity/idle_test.go
@@ -121,7 +121,7 @@
 
 // running counts the tasks that the table records as assigned.
 func (f *fleet) running(tb testing.TB) int {
-	rows, err := httpplatform.New(f.url, nil, 0).Table().List(tb.Context(), "task/")
+	rows, err := httpplatform.New(f.url, f.observer, 0).Table().List(tb.Context(), "task/")
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/capacity/meter_test.go
+++ b/capacity/meter_test.go
@@ -10,17 +10,27 @@
 	"testing"
 	"time"
 
+	"bronzehook/fault"
 	"bronzehook/platform"
 )
 
 // meter counts the TCP payload bytes, in both directions, of the connections that its client opens.
-type meter struct{ bytes atomic.Int64 }
+type meter struct {
+	bytes atomic.Int64
+	// cut makes every connection fail.
+	cut atomic.Bool
+}
+
+var errCut = fault.New(fault.CodeUnreachable, "connection", "cut by the benchmark")
 
 func (m *meter) client() *http.Client {
 	dialer := &net.Dialer{Timeout: time.Second}
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 32,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if m.cut.Load() {
+				return nil, errCut
+			}
 			conn, err := dialer.DialContext(ctx, network, addr)
 			return &meteredConn{Conn: conn, meter: m}, err
 		},
@@ -39,6 +49,9 @@
 }
 
 func (c *meteredConn) Write(p []byte) (int, error) {
+	if c.meter.cut.Load() {
+		return 0, errCut
+	}
 	n, err := c.Conn.Write(p)
 	c.meter.bytes.Add(int64(n))
 	return n, err
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -122,7 +122,7 @@
 	i.registerMessages()
 	i.registerMetrics()
 	i.kernel.Register(i.loop, i.transport, i.members, i.owners, i.rollout, i.drains, i.trail, i.runner, i.coordinator,
-		i.callers, i.operators, &viewService{i})
+		i.callers, i.operators, &viewService{Instance: i})
 	return i
 }
 
--- a/instance/view.go
+++ b/instance/view.go
@@ -16,13 +16,17 @@
 const (
 	// viewInterval is the time between two looks at whether the view of routing has to be built anew.
 	viewInterval = 100 * time.Millisecond
-	// viewMaxAge is the time after which the view is built anew in any case.
+	// viewMaxAge is the time after which members, workers and drains are compared with those of the last view.
 	viewMaxAge = time.Second
 )
 
 // viewService keeps what traffic sees up to date: routing, floors, quotas and readiness. It runs on the control
 // goroutine.
-type viewService struct{ *Instance }
+type viewService struct {
+	*Instance
+	// built is what the last view was built from, beside the endpoints.
+	built viewInputs
+}
 
 // Name implements kernel.Service.
 func (v *viewService) Name() string { return "view" }
@@ -34,13 +38,19 @@
 
 // Start builds the first view.
 func (v *viewService) Start(ctx context.Context) error {
-	built := time.Time{}
+	v.viewStale.Store(true)
+	compared := time.Time{}
 	refresh := func() {
 		v.gate.refresh()
 		now := v.options.Clock.Now()
-		if v.viewStale.Swap(false) || now.Sub(built) >= viewMaxAge {
-			built = now
-			v.build()
+		stale := v.viewStale.Swap(false)
+		if !stale && now.Sub(compared) < viewMaxAge {
+			return
+		}
+		compared = now
+		if inputs := v.inputs(); stale || !inputs.equal(&v.built) {
+			v.build(inputs)
+			v.built = inputs
 		}
 	}
 	if err := v.loop.Do(ctx, refresh); err != nil {
@@ -53,9 +63,9 @@
 // Stop implements kernel.Service; the refreshes end with the control goroutine.
 func (v *viewService) Stop(context.Context) error { return nil }
 
-func (v *viewService) build() {
-	members := v.members.View()
-	v.runner.SetWorkers(members.Workers, v.drains.Workers())
+func (v *viewService) build(inputs viewInputs) {
+	members := inputs.members
+	v.runner.SetWorkers(members.Workers, inputs.drained)
 	v.endpoints.retain(func(id api.InstanceID) bool { _, ok := members.Members[id]; return ok })
 	workers := make(map[api.WorkerID]api.Worker, len(members.Workers))
 	for _, w := range members.Workers {
@@ -64,7 +74,7 @@
 	snapshot := routing.NewSnapshot(routing.Input{
 		Self: v.options.Self, Endpoints: v.usable(v.endpoints.all(), members), Workers: workers, Costs: routing.DefaultCosts(),
 	}, v.trackers)
-	work := v.rollout.Snapshot().Work
+	work := inputs.work
 	v.gateway.SetView(gateway.View{Snapshot: snapshot, Specs: work.Specs, Teams: work.Teams})
 	v.admission.SetFloors(work.Floors)
 	live := v.live()
