Give a shard no deputy when its region has no other instance

Cause: an owner replaced a deputy that is no longer live only if it found another one. In a region with two instances, the survivor kept the ended instance as deputy, waited for its confirmation on each key, and refused the keys of these shards without end.

Ruled out: a wait for the lapse of the stopped instance, since the branch that would act on the lapse did not exist; a loss of keys, since the epoch grows with the deputy and a later claim by the former deputy starts with an incomplete ledger, which answers unknown to retries.

Change: the deputy becomes empty in that case, and the next live instance becomes deputy again.

Before: TestShardsOfTheLastInstanceHaveNoDeputy failed for the shards that the survivor owned.

--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -160,11 +160,12 @@
 	return Deputy(unit, s.config.Self.ID, instances)
 }
 
-// deputyChange replaces a deputy that is no longer live. A live deputy stays, because it has the shard's keys. The epoch
-// grows, so that a copy of the keys made for the earlier deputy is not taken for one made for the new deputy.
+// deputyChange replaces a deputy that is no longer live; without a replacement the shard has none, since an owner with a
+// deputy that does not confirm refuses all keys. A live deputy stays, because it has the shard's keys. The epoch grows,
+// so that a copy of the keys made for the earlier deputy is not taken for one made for the new deputy.
 func (s *Service) deputyChange(unit api.Unit, row Row, instances []api.Instance) (change, bool) {
 	deputy := s.deputyFor(unit, instances)
-	if deputy == row.Deputy || deputy == "" || contains(instances, row.Deputy) {
+	if deputy == row.Deputy || contains(instances, row.Deputy) {
 		return change{}, false
 	}
 	row.Deputy = deputy
