Name the caller's key in the request to the endpoint

Cause: the dispatcher sent every request without header Bronzehook-Key, so an endpoint could not recognise a caller's retry and the workers' journals recorded no key. A check that no key runs twice had nothing to read.

Ruled out: the gateway drops the caller's Bronzehook headers on purpose; the dispatcher sets its own ones, and the request that it gets has the key on all three paths (own rack, forwarded, forwarded by key).

Change: the dispatcher sets the header if the request has a key.

--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return nil, fault.NotRun(&fault.Failure{FailureCode: fault.CodeInvalid, Op: "build request", Detail: err.Error()})
 	}
-	header := make(http.Header, len(x.request.Header)+5)
+	header := make(http.Header, len(x.request.Header)+6)
 	for name, values := range x.request.Header {
 		header[name] = values
 	}
@@ -184,6 +184,9 @@
 	header[api.HeaderNotAfter] = []string{strconv.FormatInt(permit.NotAfter.Milliseconds(), 10)}
 	header[api.HeaderTask] = []string{string(x.endpoint.Task)}
 	header[api.HeaderTaskAttempt] = []string{strconv.FormatUint(x.endpoint.Attempt, 10)}
+	if x.request.Key != "" {
+		header[api.HeaderKey] = []string{x.request.Key}
+	}
 	out := &http.Request{Method: x.request.Method, URL: target, Header: header, Host: x.endpoint.Addr}
 	if len(x.request.Body) > 0 {
 		out.Body = io.NopCloser(bytes.NewReader(x.request.Body))
