--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -169,3 +169,32 @@
 		f.t.Fatal(err)
 	}
 }
+
+// apply applies files and fails the test unless they are accepted.
+func (f *fleet) apply(p *process, files map[string]string) {
+	f.t.Helper()
+	dir := f.folder(files)
+	if code, out, errOut := operate(p, "ann", "apply", "--wait", dir); code != fault.ExitOK {
+		f.t.Fatalf("apply ended with %d:\n%s%s", code, out, errOut)
+	}
+}
+
+// folder writes files into a fresh folder.
+func (f *fleet) folder(files map[string]string) string {
+	f.t.Helper()
+	dir := f.t.TempDir()
+	for name, content := range files {
+		f.write(dir, name, content)
+	}
+	return dir
+}
+
+func (f *fleet) named(id api.InstanceID) *process {
+	for _, p := range f.instances {
+		if p.id == string(id) {
+			return p
+		}
+	}
+	f.t.Fatalf("no instance %q", id)
+	return nil
+}
--- a/session/process_test.go
+++ b/session/process_test.go
@@ -193,3 +193,10 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// kill ends the process without warning and waits for its end.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGKILL)
+	<-p.ended
+}
--- /dev/null
+++ b/session/store_test.go
@@ -0,0 +1,157 @@
+package session
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bronzehook/fault"
+	"bronzehook/platform/standin"
+)
+
+const (
+	outage = 15 * time.Second
+	// lostReplies is the number of writes whose replies are lost: several from each writer.
+	lostReplies = 25
+)
+
+// Guards against a table outage that ends requests, leases or ownership, and against changes accepted meanwhile.
+func TestTableDown(t *testing.T) {
+	t.Parallel()
+	f := startWork(t, time.Second)
+	f.checkJobDone(t, "index", jobTasks, jobDeadline)
+	l := f.startLoad("shop")
+	time.Sleep(steady)
+	watchers, services, before := f.running("feed"), f.running("shop"), f.configRows()
+
+	down := time.Now()
+	f.site.Platform.SetTableFaults(standin.StoreFaults{Down: true})
+	f.refusedApply(t)
+	time.Sleep(time.Until(down.Add(outage)))
+	up := time.Now()
+	f.site.Platform.SetTableFaults(standin.StoreFaults{})
+
+	checkAllAnswered(t, l, down, up)
+	f.checkSameRuns(t, watchers, f.running("feed"))
+	f.checkSameRuns(t, services, f.running("shop"))
+	if after := f.configRows(); after != before {
+		t.Errorf("the configuration changed while the table was down:\n%s\n%s", before, after)
+	}
+	f.apply(f.instances[1], map[string]string{"60-later.yaml": strings.ReplaceAll(jobFile(time.Second), "name: index", "name: later")})
+	f.checkJobDone(t, "later", jobTasks, jobDeadline)
+	f.awaitAnswers("shop", answerAgain, f.instances...)
+	l.end()
+	f.checkAll(t, l)
+}
+
+// refusedApply tries a change through each instance at the same time and wants the refusal that names the store.
+func (f *fleet) refusedApply(t *testing.T) {
+	t.Helper()
+	var wait sync.WaitGroup
+	for _, p := range f.instances {
+		dir := f.folder(map[string]string{"10-teams.yaml": "kind: team\nname: web\ncpu: 99\nmemory: 256GiB\n"})
+		wait.Go(func() {
+			code, out, errOut := operate(p, "ann", "--output=json", "apply", dir)
+			if code != fault.ExitUnavailable || !strings.Contains(errOut, string(fault.CodeStoreUnavailable)) {
+				t.Errorf("apply through %s ended with %d: %s%s", p.id, code, out, errOut)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// checkSameRuns fails the test unless the same attempts run as before.
+func (f *fleet) checkSameRuns(t *testing.T, before, after []standin.Run) {
+	t.Helper()
+	if len(before) != len(after) {
+		t.Errorf("%d attempts ran before and %d run now:\n%+v\n%+v", len(before), len(after), before, after)
+		return
+	}
+	for n := range before {
+		if before[n].Task != after[n].Task || before[n].Attempt != after[n].Attempt {
+			t.Errorf("attempt %d of %s was replaced by attempt %d of %s", before[n].Attempt, before[n].Task, after[n].Attempt, after[n].Task)
+		}
+	}
+}
+
+// Guards against a change or a start that takes effect twice because the reply to its first write was lost.
+func TestLostTableReplies(t *testing.T) {
+	t.Parallel()
+	f := startWork(t, time.Second)
+	f.checkJobDone(t, "index", jobTasks, jobDeadline)
+	l := f.startLoad("shop")
+	revision := f.revision(f.instances[0])
+	f.site.Platform.SetTableFaults(standin.StoreFaults{LoseReplies: lostReplies})
+	f.apply(f.instances[2], map[string]string{"60-later.yaml": strings.ReplaceAll(jobFile(2*time.Second), "name: index", "name: later")})
+	f.checkJobDone(t, "later", jobTasks, jobDeadline)
+	for _, p := range f.instances {
+		if got := f.revision(p); got != revision+1 {
+			t.Errorf("%s is at revision %d after one change from %d", p.id, got, revision)
+		}
+	}
+	later := f.runs(func(r standin.Run) bool { return r.Work == "later" })
+	if len(later) != jobTasks {
+		t.Errorf("%d attempts for %d tasks: %+v", len(later), jobTasks, later)
+	}
+	l.end()
+	f.checkAll(t, l)
+}
+
+// Guards against racing operators who overwrite each other or do not see what the other wrote.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	f := startWork(t, time.Second)
+	f.race(t, f.instances[0], f.instances[2])
+	f.checkAll(t, nil)
+}
+
+// race applies two edits of one file at the same time and wants exactly one of them recorded.
+func (f *fleet) race(t *testing.T, first, second *process) {
+	t.Helper()
+	revision := f.revision(first)
+	edits := map[string]string{"ann": "kind: team\nname: web\ncpu: 71\nmemory: 256GiB\n", "bob": "kind: team\nname: web\ncpu: 72\nmemory: 256GiB\n"}
+	through := map[string]*process{"ann": first, "bob": second}
+	codes, messages := map[string]int{}, map[string]string{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for author, content := range edits {
+		dir := f.folder(nil)
+		if code, _, errOut := operate(through[author], author, "get", "--into", dir); code != fault.ExitOK {
+			t.Fatal(errOut)
+		}
+		f.write(dir, "10-teams.yaml", content)
+		wait.Go(func() {
+			code, out, errOut := operate(through[author], author, "apply", "--wait", dir)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[author], messages[author] = code, out+errOut
+		})
+	}
+	wait.Wait()
+	winner, loser := "ann", "bob"
+	if codes["bob"] == fault.ExitOK {
+		winner, loser = loser, winner
+	}
+	if codes[winner] != fault.ExitOK || codes[loser] != fault.ExitConflict {
+		t.Fatalf("exit codes %v:\n%v", codes, messages)
+	}
+	for _, edit := range edits {
+		if !strings.Contains(messages[loser], edit) {
+			t.Errorf("the conflict does not show both edits:\n%s", messages[loser])
+		}
+	}
+	_, out, _ := operate(first, "ann", "get", "10-teams.yaml")
+	if out != edits[winner] {
+		t.Errorf("%s won, but the record holds:\n%s", winner, out)
+	}
+	for _, p := range f.instances {
+		if p.hasEnded() {
+			continue
+		}
+		f.eventually(inForceLimit, "one further revision on "+p.id, func() bool { return f.revision(p) >= revision+1 })
+		if got := f.revision(p); got != revision+1 {
+			t.Errorf("%s is at revision %d after one change from %d", p.id, got, revision)
+		}
+	}
+}
