Print the four measures with bronzehookctl measure

Cause: the verb measure had no Measurer, so the table of the replay could only be seen through the golden file of package replay.

Ruled out: package ctl importing package replay, because every test of ctl would link the scheduler; a table of all seventeen values, because the verb promises the four measures.

Change: cmd/bronzehookctl connects replay.Compare to ctl.Measurer. A replay ends when its context does, so that an interrupt works. Progress uses the existing display after 2 s on a terminal.

Before/after: before, exit code 4 "this build has no recorded traces". The golden table is unchanged.

Conclusion: one command prints the measures, in text and JSON.

--- a/cmd/bronzehookctl/main.go
+++ b/cmd/bronzehookctl/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"bronzehook/ctl"
+	"bronzehook/replay"
 )
 
 func main() {
@@ -18,7 +19,10 @@
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	app := &ctl.App{Out: os.Stdout, Err: os.Stderr, Terminal: isTerminal(os.Stderr), DefaultAuthor: accountName()}
+	app := &ctl.App{
+		Out: os.Stdout, Err: os.Stderr, Terminal: isTerminal(os.Stderr), DefaultAuthor: accountName(),
+		Measurer: traceMeasurer{traces: replay.Traces()},
+	}
 	return app.Run(ctx, args)
 }
 
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -35,7 +35,7 @@
 	client *client
 }
 
-// Measurer runs a recorded trace and returns its measures.
+// Measurer replays the recorded traces of a site and returns their measures. An empty site means all sites.
 type Measurer interface {
 	Measure(ctx context.Context, site string, seed uint64) (MeasureTable, error)
 }
@@ -85,7 +85,7 @@
 		{"drain", "Keep new tasks off a worker", "Keeps new tasks off a worker until the time is over.", "drain worker-17 --for 2h --reason \"disk check\"", &drainCommand{app: a}},
 		{"undrain", "End the drain of a worker", "Lets a worker get new tasks again.", "undrain worker-17", &undrainCommand{app: a}},
 		{"audit", "List the audit trail", "Lists who changed what, oldest first.", "audit --since 24h", &auditCommand{app: a}},
-		{"measure", "Print the measures of a recorded trace", "Replays the recorded trace of a site and prints its measures beside the baseline's.", "measure --site tentpole", &measureCommand{app: a}},
+		{"measure", "Print the measures of the recorded traces", "Replays the recorded traces, of both sites unless one is named, and prints the four measures of the decision beside the baseline's.", "measure --site tentpole", &measureCommand{app: a}},
 	}
 }
 
--- a/ctl/session_test.go
+++ b/ctl/session_test.go
@@ -122,6 +122,9 @@
 	}
 	var out, errOut bytes.Buffer
 	app := &App{Out: &out, Err: &errOut}
+	if ts.Getenv("MEASURER") != "" {
+		app.Measurer = fakeMeasurer{}
+	}
 	got := app.Run(context.Background(), arguments)
 	normalise := strings.NewReplacer(f.server.URL, "http://ADDRESS", strings.TrimPrefix(f.server.URL, "http://"), "ADDRESS")
 	_, _ = io.WriteString(ts.Stdout(), normalise.Replace(out.String()))
@@ -131,6 +134,26 @@
 	}
 }
 
+// fakeMeasurer returns a table that names what it was asked for; seed 13 fails.
+type fakeMeasurer struct{}
+
+func (fakeMeasurer) Measure(_ context.Context, site string, seed uint64) (MeasureTable, error) {
+	const failingSeed = 13
+	if seed == failingSeed {
+		return MeasureTable{}, fault.New(fault.CodeInternal, "measure", "the trace is broken")
+	}
+	if site == "" {
+		site = "all"
+	}
+	return MeasureTable{
+		Columns: []string{"SITE", "TRACE", "MEASURE", "DECISION", "BASELINE"},
+		Rows: [][]string{
+			{site, "calm", "service p99 (ms)", strconv.FormatUint(seed, 10), "246.0"},
+			{site, "noisy-waves", "evictions", "50", "2890"},
+		},
+	}, nil
+}
+
 // runTable sets a fault of the table: table up|down|reply-lost.
 func runTable(ts *testscript.TestScript, _ bool, args []string) {
 	faults := map[string]tabletest.Faults{"up": {}, "down": {Down: true}, "reply-lost": {LostReplies: 1}}
--- a/ctl/view.go
+++ b/ctl/view.go
@@ -196,7 +196,7 @@
 
 type measureCommand struct {
 	app  *App
-	Site string `long:"site" default:"tentpole" choice:"tentpole" choice:"nile" description:"site whose trace is replayed"`
+	Site string `long:"site" choice:"tentpole" choice:"nile" description:"site whose traces are replayed; both by default"`
 	Seed uint64 `long:"seed" default:"1" description:"seed of the replay; the same seed gives the same table"`
 }
 
@@ -205,7 +205,7 @@
 	if c.app.Measurer == nil {
 		return fault.New(fault.CodeNotFound, "measure", "this build has no recorded traces")
 	}
-	progress := c.app.startProgress("replaying the trace of " + c.Site)
+	progress := c.app.startProgress(c.progressLabel())
 	table, err := c.app.Measurer.Measure(c.app.ctx, c.Site, c.Seed)
 	progress.stop()
 	if err != nil {
@@ -214,6 +214,13 @@
 	return c.app.print(table, func() { c.app.printMeasures(table) })
 }
 
+func (c *measureCommand) progressLabel() string {
+	if c.Site == "" {
+		return "replaying the traces of all sites"
+	}
+	return "replaying the traces of " + c.Site
+}
+
 func (a *App) printMeasures(table MeasureTable) {
 	a.table(strings.Join(table.Columns, "\t"), func(add func(...any)) {
 		for _, row := range table.Rows {
--- a/replay/measures.go
+++ b/replay/measures.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -41,35 +42,39 @@
 }
 
 // Run replays a recorded trace with a policy.
-func Run(site Site, trace string, seed uint64, policy Policy) (Measures, error) {
+func Run(ctx context.Context, site Site, trace string, seed uint64, policy Policy) (Measures, error) {
 	events, err := Load(site, trace)
 	if err != nil {
 		return Measures{}, err
 	}
-	return Replay(site, events, seed, policy), nil
+	return Replay(ctx, site, events, seed, policy)
 }
 
-// Replay replays events with a policy. A trace with a flood is replayed without it as well.
-func Replay(site Site, events []Event, seed uint64, policy Policy) Measures {
+// Replay replays events with a policy until ctx ends. A trace with a flood is replayed without it as well.
+func Replay(ctx context.Context, site Site, events []Event, seed uint64, policy Policy) (Measures, error) {
 	r := newReplayer(site, policy, seed)
-	r.replay(events, true)
+	if err := r.replay(ctx, events, true); err != nil {
+		return Measures{}, err
+	}
 	m := r.measures()
 	flooded := false
 	for i := range events {
 		flooded = flooded || events[i].Flood
 	}
 	if !flooded {
-		return m
+		return m, nil
 	}
 	calm := newReplayer(site, policy, seed)
-	calm.replay(events, false)
+	if err := calm.replay(ctx, events, false); err != nil {
+		return Measures{}, err
+	}
 	m.FloodThroughput = ratioOf(r.c.urgentAnswered, calm.c.urgentAnswered)
 	m.FloodP99 = ratioOf(m.UrgentP99, calm.measures().UrgentP99)
 	m.FloorKept = 1
 	for u := range int(api.Critical) {
 		m.FloorKept = min(m.FloorKept, ratioOf(r.c.floors[u].given, r.c.floors[u].promised))
 	}
-	return m
+	return m, nil
 }
 
 func ratioOf(a, b float64) float64 {
@@ -136,7 +141,7 @@
 const parallelReplays = 4
 
 // Compare replays the traces of the sites with the decision and with the baseline.
-func Compare(sites []Site, traces []string, seed uint64) ([]Comparison, error) {
+func Compare(ctx context.Context, sites []Site, traces []string, seed uint64) ([]Comparison, error) {
 	results := make([]Comparison, len(sites)*len(traces))
 	var group errgroup.Group
 	group.SetLimit(parallelReplays)
@@ -145,7 +150,7 @@
 		results[i].Site, results[i].Trace = site.Name, trace
 		replayInto := func(m *Measures, policy Policy) {
 			group.Go(func() (err error) {
-				*m, err = Run(site, trace, seed, policy)
+				*m, err = Run(ctx, site, trace, seed, policy)
 				return err
 			})
 		}
@@ -157,8 +162,8 @@
 
 // Table replays the traces of the sites and returns the measures of the decision against those of the baseline as text.
 // The same seed gives the same table.
-func Table(sites []Site, traces []string, seed uint64) (string, error) {
-	comparisons, err := Compare(sites, traces, seed)
+func Table(ctx context.Context, sites []Site, traces []string, seed uint64) (string, error) {
+	comparisons, err := Compare(ctx, sites, traces, seed)
 	if err != nil {
 		return "", err
 	}
@@ -206,10 +211,7 @@
 		{"tasks reported as never able to run", number("%d", m.Reported)},
 	}
 	if m.FloodThroughput > 0 {
-		rows = append(rows,
-			[2]string{"urgent throughput over unflooded", number("%.3f", m.FloodThroughput)},
-			[2]string{"urgent p99 over unflooded", number("%.3f", m.FloodP99)},
-			[2]string{"floor kept", number("%.3f", m.FloorKept)})
+		rows = append(rows, m.floodRows()...)
 	}
 	return rows
 }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -1,11 +1,13 @@
 package replay
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 
 	"bronzehook/api"
 	"bronzehook/scheduler"
@@ -107,8 +109,8 @@
 
 func (r *replayer) time() time.Time { return epoch.Add(seconds(r.now)) }
 
-// replay runs the events; flood says whether those of the flood are part of it.
-func (r *replayer) replay(events []Event, flood bool) {
+// replay runs the events until ctx ends; flood says whether those of the flood are part of it.
+func (r *replayer) replay(ctx context.Context, events []Event, flood bool) error {
 	next := 0
 	for r.now = 0; r.now < traceSeconds; r.now++ {
 		for ; next < len(events) && events[next].At <= r.now; next++ {
@@ -123,7 +125,11 @@
 		if r.now%planSeconds == 0 {
 			r.plan()
 		}
+		if err := ctx.Err(); err != nil {
+			return errors.Wrap(err, "replay trace")
+		}
 	}
+	return nil
 }
 
 func (r *replayer) happen(e *Event) {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"context"
 	"flag"
 	"os"
 	"sync"
@@ -44,7 +45,7 @@
 const tableSeed = 1
 
 // compared holds one replay of everything for all tests.
-var compared = sync.OnceValues(func() ([]Comparison, error) { return Compare(Sites(), Traces(), tableSeed) })
+var compared = sync.OnceValues(func() ([]Comparison, error) { return Compare(context.Background(), Sites(), Traces(), tableSeed) })
 
 // Guards against a change of a decision that nobody measured: the same seed gives the same table.
 func TestTable(t *testing.T) {
@@ -130,7 +131,7 @@
 	patient := Baseline()
 	patient.Options.Eviction.ForRoom = false
 	for i, site := range Sites() {
-		baseline, err := Run(site, TraceNoisyWaves, tableSeed, patient)
+		baseline, err := Run(t.Context(), site, TraceNoisyWaves, tableSeed, patient)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -183,7 +184,7 @@
 
 // Guards against an unknown trace or a broken file being replayed as an empty one.
 func TestBadTracesAreRefused(t *testing.T) {
-	if _, err := Run(Tentpole(), "no-such-trace", 1, Decision()); !fault.Is(err, fault.CodeNotFound) {
+	if _, err := Run(t.Context(), Tentpole(), "no-such-trace", 1, Decision()); !fault.Is(err, fault.CodeNotFound) {
 		t.Errorf("unknown trace: %v", err)
 	}
 	if _, err := Parse([]byte("{\"at\":1}\n{")); !fault.Is(err, fault.CodeInvalid) {
