Let a new coordinator hear all racks before it places tasks

Cause: a coordinator that had just claimed its duty placed tasks as soon as the first rack had reported. In a fleet of three instances all six replicas of a service went to one rack, and a region that was cut off afterwards had no endpoint. Running tasks are not moved, so the loss of spread lasted. Change: the coordinator places nothing until every listed worker has been reported once, for at most 3 s after it loaded the task records. Conclusion: a service keeps its spread when it is recorded while the coordinator changes; the price is at most 3 s before the first placement of a new coordinator.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -106,8 +106,11 @@
 	// unitVersion is the version of the unit row that every transaction requires.
 	unitVersion uint64
 	loaded      bool
-	committing  bool
-	tasks       map[api.TaskID]*task
+	// loadedAt is when the task records were loaded, and settled is set once placement may begin.
+	loadedAt   time.Time
+	settled    bool
+	committing bool
+	tasks      map[api.TaskID]*task
 	// revision is the configuration revision that the tasks were last reconciled with.
 	revision uint64
 	workers  map[api.WorkerID]runner.WorkerReport
@@ -233,6 +236,7 @@
 	}
 	t.unitVersion = unitVersion
 	t.loaded = true
+	t.loadedAt = now
 	c.log.Info().Int("tasks", len(t.tasks)).Uint64(logging.KeyEpoch, uint64(t.epoch)).Msg("task records loaded")
 }
 
@@ -254,7 +258,9 @@
 		t.revision = work.Revision
 	}
 	c.askAboutSilent(t)
-	c.decide(t, work)
+	if c.settle(t) {
+		c.decide(t, work)
+	}
 	c.commit(t)
 	c.send(t)
 }
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -76,6 +76,28 @@
 	Ended(now time.Time, task api.Task, report runner.AttemptReport, ran time.Duration)
 }
 
+// settleTime is the longest wait of a new coordinator for reports of all racks before it places tasks. Racks report once
+// a second at first. Without the wait all tasks of a work go to the rack that reports first, and the spread over data
+// centres is lost for good, since running tasks are not moved.
+const settleTime = 3 * time.Second
+
+// settle reports whether every listed worker has been reported once, or the time for that is over.
+func (c *Coordinator) settle(t *term) bool {
+	if t.settled {
+		return true
+	}
+	if c.options.Clock.Since(t.loadedAt) < settleTime {
+		workers, _ := c.options.Cluster.Workers()
+		for _, w := range workers {
+			if _, reported := t.workers[w.ID]; !reported {
+				return false
+			}
+		}
+	}
+	t.settled = true
+	return true
+}
+
 func (c *Coordinator) decide(t *term, work *api.WorkSet) {
 	view := c.view(t, work)
 	decision := c.options.Decider.Decide(view)
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -124,6 +124,8 @@
 	orders  []runner.Assignment
 	queries []runner.Query
 	ops     int
+	// silent workers are listed by the directory besides testWorker and were never reported.
+	silent []api.Worker
 	// ordered is called for each assignment, before the reply.
 	ordered func(runner.Assignment)
 }
@@ -210,7 +212,9 @@
 }
 
 func (h *harness) Workers() ([]api.Worker, map[api.WorkerID]bool) {
-	return []api.Worker{testWorker}, nil
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]api.Worker{testWorker}, h.silent...), nil
 }
 
 // UnitVersion takes a row with a value as one that names another owner.
