--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -113,8 +113,11 @@
 	// unitVersion is the version of the unit row that every transaction requires.
 	unitVersion uint64
 	loaded      bool
-	committing  bool
-	tasks       map[api.TaskID]*task
+	// loadedAt is when the task records were loaded, and settled is set once placement may begin.
+	loadedAt   time.Time
+	settled    bool
+	committing bool
+	tasks      map[api.TaskID]*task
 	// byUnit holds the tasks by the rack that their row names.
 	byUnit map[api.Unit]map[api.TaskID]*task
 	// revision is the configuration revision that the tasks were last reconciled with.
@@ -256,6 +259,7 @@
 	}
 	t.unitVersion = unitVersion
 	t.loaded = true
+	t.loadedAt = now
 	c.log.Info().Int("tasks", len(t.tasks)).Uint64(logging.KeyEpoch, uint64(t.epoch)).Msg("task records loaded")
 }
 
@@ -278,7 +282,7 @@
 		t.changed = true
 	}
 	c.watchAttempts(t)
-	if t.due(c.options.Clock.Now()) {
+	if c.settle(t) && t.due(c.options.Clock.Now()) {
 		c.decide(t, work)
 	}
 	c.commit(t)
