Let calls of other instances finish when the transport stops

Cause: the gateway's drain ends as soon as nothing is open, but other instances forward requests until they have read the new owner of a unit. Such a request was cut off when the transport closed: its caller got unknown with "stream ended before its final frame: Application error 0x0".

Ruled out: forwarded requests that the drain does not count; it counts them, but it does not wait for those that come after it was idle.

Change: Transport.Stop first refuses new calls as not-run, waits within its context for those being served, leaves 200 ms for the answers to go out, because a QUIC close drops what was not sent, and closes then.

Before: TestStopFinishesCallsOfPeers failed, the call in flight was cut off.

What remains: a call that arrives between the last refusal and the close of the connection is unknown to its sender; no run showed one.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -60,6 +60,10 @@
 // Handler handles one message and returns the encoded response, which is ignored for one-way messages.
 type Handler func(ctx context.Context, from Sender, payload []byte) ([]byte, error)
 
+// replyFlush is the wait between the last answer and the close of the connections, because a close drops what QUIC has
+// not sent yet or would have to repeat. It covers several round trips of 24 ms between regions.
+const replyFlush = 200 * time.Millisecond
+
 // Transport sends and receives messages. It is a kernel.Service. Handlers are registered before Start.
 type Transport struct {
 	config   Config
@@ -76,8 +80,13 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	// calls counts the calls of peers that are being served.
+	calls sync.WaitGroup
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// draining refuses new calls of peers, stopping also new connections. served is set by the first call of a peer.
+	draining bool
+	served   bool
 	stopping bool
 	conns    map[string]*connection
 	dials    map[string]*pendingDial
@@ -155,8 +164,42 @@
 	return socket, nil
 }
 
-// Stop refuses new calls, closes all connections and waits until no handler runs or the context ends.
+// Stop refuses new calls, lets the handlers of calls finish until the context ends, and closes all connections.
 func (t *Transport) Stop(ctx context.Context) error {
+	unfinished := t.drainCalls(ctx)
+	return errors.CombineErrors(unfinished, t.shut(ctx))
+}
+
+// drainCalls refuses new calls of peers and waits until those that are being served are answered.
+func (t *Transport) drainCalls(ctx context.Context) error {
+	t.mu.Lock()
+	t.draining = true
+	served := t.served
+	t.mu.Unlock()
+	if err := waitTasks(ctx, &t.calls); err != nil || !served {
+		return err
+	}
+	select {
+	case <-time.After(replyFlush):
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// beginCall counts a call that is about to be served. It reports false once the transport drains.
+func (t *Transport) beginCall() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		return false
+	}
+	t.served = true
+	t.calls.Add(1)
+	return true
+}
+
+// shut closes all connections and waits until nothing of the transport runs or the context ends.
+func (t *Transport) shut(ctx context.Context) error {
 	t.mu.Lock()
 	t.stopping = true
 	conns := make([]*connection, 0, len(t.conns))
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -57,6 +57,12 @@
 		return
 	}
 	t.moveCount(s, head.Kind.Purpose(), len(message)+frameHeaderBytes)
+	if !t.beginCall() {
+		t.answer(s, replyOf(fault.NotRun(fault.New(fault.CodeStopping, "peer serve", "transport is stopping"))))
+		s.CancelRead(streamCanceled)
+		return
+	}
+	defer t.calls.Done()
 	ctx, cancel := t.handlerContext(qs, head)
 	defer cancel()
 	from := Sender{ID: c.peer, Addr: c.addr, Session: head.Session}
