--- a/session/store_test.go
+++ b/session/store_test.go
@@ -115,14 +115,17 @@
 	codes, messages := map[string]int{}, map[string]string{}
 	var mu sync.Mutex
 	var wait sync.WaitGroup
+	folders := map[string]string{}
 	for author, content := range edits {
-		dir := f.folder(nil)
-		if code, _, errOut := operate(through[author], author, "get", "--into", dir); code != fault.ExitOK {
+		folders[author] = f.folder(nil)
+		if code, _, errOut := operate(through[author], author, "get", "--into", folders[author]); code != fault.ExitOK {
 			t.Fatal(errOut)
 		}
-		f.write(dir, "10-teams.yaml", content)
+		f.write(folders[author], "10-teams.yaml", content)
+	}
+	for author := range edits {
 		wait.Go(func() {
-			code, out, errOut := operate(through[author], author, "apply", "--wait", dir)
+			code, out, errOut := operate(through[author], author, "apply", "--wait", folders[author])
 			mu.Lock()
 			defer mu.Unlock()
 			codes[author], messages[author] = code, out+errOut
