--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -116,7 +116,7 @@
 
 func (f *fleet) await(tb testing.TB, what string, done func() bool) {
 	tb.Helper()
-	for end := time.Now().Add(settleTimeout); !done(); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(settleTimeout); !done(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			tb.Fatalf("gave up waiting until %s", what)
 		}
