Spread the losses of the takeover benchmark over the periods of the polls

Cause: every loss came at the same phase of the polls, so that five losses showed nearly one time.

Change: each loss comes 0.4 s later in its fleet than the one before.

--- a/capacity/takeover_test.go
+++ b/capacity/takeover_test.go
@@ -20,10 +20,11 @@
 // moment an operator records urgent work; start-s is when its task is recorded as assigned.
 func BenchmarkTakeover(b *testing.B) {
 	var racks, duty, start []time.Duration
-	for range takeovers {
+	for i := range takeovers {
 		f := startFleet(b, 9, 72)
-		// Claims of racks settle some seconds after all instances are ready.
-		time.Sleep(10 * time.Second)
+		// Claims of racks settle some seconds after all instances are ready. The losses are spread over the longest period of
+		// the polls.
+		time.Sleep(10*time.Second + time.Duration(i)*2*time.Second/takeovers)
 		owners := f.owners(b)
 		victim := f.node(owners[api.Coordinator.Key()])
 		lost := time.Now()
