--- a/capacity/idle_test.go
+++ b/capacity/idle_test.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// BenchmarkShare measures one instance that owns the share of one of 44, 22 and 9 instances of the design size, and
+// coordinates the tasks of that share.
+func BenchmarkShare(b *testing.B) {
+	for _, share := range []struct{ workers, tasks int }{{18, 211}, {37, 423}, {90, 1_033}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", share.workers, share.tasks), func(b *testing.B) {
+			f := startFleet(b, 1, share.workers)
+			f.run(b, share.tasks)
+			f.measureIdle(b)
+		})
+	}
+}
+
 // running counts the tasks that the table records as assigned.
 func (f *fleet) running(tb testing.TB) int {
 	rows, err := httpplatform.New(f.url, f.observer, 0).Table().List(tb.Context(), "task/")
