Measure readings of the directory and 22 instances

Cause: every instance reads the whole directory every 2 s whatever it owns, and the workers' slope hid that part.

Before/after: no product change.

--- a/capacity/idle_test.go
+++ b/capacity/idle_test.go
@@ -88,7 +88,7 @@
 
 // BenchmarkInstances measures a steady instance against the number of instances, with 24 workers and no tasks.
 func BenchmarkInstances(b *testing.B) {
-	for _, instances := range []int{3, 6, 9, 16} {
+	for _, instances := range []int{3, 6, 9, 16, 22} {
 		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
 			f := startFleet(b, instances, 24)
 			time.Sleep(5 * time.Second)
--- a/capacity/rollout_test.go
+++ b/capacity/rollout_test.go
@@ -21,7 +21,7 @@
 
 // BenchmarkRollout measures the time from the operator's request to acceptance by all instances.
 func BenchmarkRollout(b *testing.B) {
-	for _, instances := range []int{3, 6, 9} {
+	for _, instances := range []int{3, 6, 9, 22} {
 		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
 			f := startFleet(b, instances, 3)
 			f.nodes[0].apply(b, folder(0))
