Hold the floor of urgencies with slow requests

Cause: an urgency's account was capped at twice the cost of the request being granted. In a flood of cheap requests the cap stayed below the cost of a waiting request that takes more than twice as long, so the urgency was never owed it and starved.

Change: the cap counts at least two requests at the cost of the waiting one.

Before/after: TestFloorHoldsForSlowRequests, slow requests get 0.040 of their floor without the change, at least 0.98 with it.

Conclusion: floors hold whatever the requests of an urgency cost.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -159,3 +159,53 @@
 		t.Errorf("%d retries for 1000 requests, want %d", retries, limit)
 	}
 }
+
+// Guards against an urgency that starves in a flood of more urgent requests because its own take several times as long.
+func TestFloorHoldsForSlowRequests(t *testing.T) {
+	const (
+		capacity    = 8
+		floor       = 10
+		fast        = 10 * time.Millisecond
+		slowFactor  = 4
+		length      = 10 * time.Second
+		maxWaiting  = 2 * capacity
+		minFloorPut = 0.98
+	)
+	config := DefaultConfig()
+	core := NewCore(config, capacity, api.Floors{api.Low: floor})
+	now := time.Unix(0, 0)
+	end := now.Add(length)
+	deadline := end.Add(time.Hour)
+	took := map[string]time.Duration{"fast": fast, "slow": slowFactor * fast}
+	var tickets []*Ticket
+	offer := func(service string, u api.Urgency) {
+		for core.Waiting(u) < maxWaiting {
+			ticket := &Ticket{Urgency: u, Service: service, Deadline: deadline}
+			if core.Offer(now, ticket) != nil {
+				return
+			}
+			tickets = append(tickets, ticket)
+		}
+	}
+	given := time.Duration(0)
+	for ; now.Before(end); now = now.Add(time.Millisecond) {
+		offer("slow", api.Low)
+		offer("fast", api.Critical)
+		kept := tickets[:0]
+		for _, ticket := range tickets {
+			if ticket.state != stateGranted || now.Sub(ticket.granted) < took[ticket.Service] {
+				kept = append(kept, ticket)
+				continue
+			}
+			core.Release(now, ticket, true)
+			if ticket.Urgency == api.Low {
+				given += took[ticket.Service]
+			}
+		}
+		tickets = kept
+	}
+	promised := capacity * length * floor / 100
+	if share := given.Seconds() / promised.Seconds(); share < minFloorPut {
+		t.Errorf("slow requests got %.3f of their floor, want at least %.2f", share, minFloorPut)
+	}
+}
--- a/admission/core.go
+++ b/admission/core.go
@@ -242,8 +242,7 @@
 	cost := c.times.meanOf(t.Service).Seconds()
 	for u := range c.owed {
 		share := c.floors[u] / 100
-		ceiling := max(2*cost, share*float64(c.capacity)*c.times.overallMean().Seconds())
-		c.owed[u] = min(ceiling, c.owed[u]+share*cost)
+		c.owed[u] = min(c.ceiling(api.Urgency(u), cost), c.owed[u]+share*cost)
 	}
 	c.owed[t.Urgency] = max(0, c.owed[t.Urgency]-cost)
 	c.rates[t.Urgency].add(now)
@@ -252,6 +251,19 @@
 	t.granted = now
 }
 
+// ceiling bounds the account of an urgency: its floor's own number of slots, but at least two requests. Those are counted
+// at the cost of the waiting request if it is higher than that of the granted one; an account that is capped below the
+// cost of its first request would never be owed it, and the urgency would starve.
+func (c *Core) ceiling(u api.Urgency, granted float64) float64 {
+	const minRequests = 2
+	request := granted
+	if front := c.queues[u].front(); front != nil {
+		request = max(request, c.times.meanOf(front.Service).Seconds())
+	}
+	ownSlots := c.floors[u] / 100 * float64(c.capacity) * c.times.overallMean().Seconds()
+	return max(minRequests*request, ownSlots)
+}
+
 // predictWait estimates the time until a new ticket of the urgency would be granted: the tickets before it over the
 // larger of its floor's rate and the rate that more urgent requests leave.
 func (c *Core) predictWait(now time.Time, u api.Urgency) time.Duration {
