--- a/admission/core.go
+++ b/admission/core.go
@@ -70,14 +70,28 @@
 	Urgency  api.Urgency
 	Service  string
 	Deadline time.Time
+	// Settled, if set, is called once with the decision on a ticket that waited; nil is a grant. It must not call the core.
+	Settled func(*RefusalError)
 
 	state   ticketState
 	arrived time.Time
 	granted time.Time
-	// settled receives the decision on a ticket that waited; nil is a grant.
+	// settled receives the decision on a ticket that waited and has no Settled; nil is a grant.
 	settled chan *RefusalError
 }
 
+// settle tells the owner of a ticket that waited of the decision.
+func (t *Ticket) settle(refusal *RefusalError) {
+	if t.Settled != nil {
+		t.Settled(refusal)
+		return
+	}
+	t.settled <- refusal
+}
+
+// Granted reports whether the ticket holds a slot.
+func (t *Ticket) Granted() bool { return t.state == stateGranted }
+
 // Core is the state of admission without locks and without a clock. Its share of slots is given out as follows: a free
 // slot goes to the most urgent waiting request, unless a waiting urgency is owed part of its floor. Each urgency
 // accrues its floor's share of the service time given out; the account is capped at the floor's own number of slots, so
@@ -113,7 +127,9 @@
 		return refusal
 	}
 	t.state = stateWaiting
-	t.settled = make(chan *RefusalError, 1)
+	if t.Settled == nil {
+		t.settled = make(chan *RefusalError, 1)
+	}
 	c.queues[t.Urgency].push(t)
 	return nil
 }
@@ -196,11 +212,11 @@
 		}
 		t := c.queues[u].pop()
 		if refusal := c.stale(now, t); refusal != nil {
-			t.settled <- refusal
+			t.settle(refusal)
 			continue
 		}
 		c.grant(now, t)
-		t.settled <- nil
+		t.settle(nil)
 	}
 }
 
@@ -242,8 +258,7 @@
 	cost := c.times.meanOf(t.Service).Seconds()
 	for u := range c.owed {
 		share := c.floors[u] / 100
-		ceiling := max(2*cost, share*float64(c.capacity)*c.times.overallMean().Seconds())
-		c.owed[u] = min(ceiling, c.owed[u]+share*cost)
+		c.owed[u] = min(c.ceiling(api.Urgency(u), cost), c.owed[u]+share*cost)
 	}
 	c.owed[t.Urgency] = max(0, c.owed[t.Urgency]-cost)
 	c.rates[t.Urgency].add(now)
@@ -252,6 +267,19 @@
 	t.granted = now
 }
 
+// ceiling bounds the account of an urgency: its floor's own number of slots, but at least two requests. Those are counted
+// at the cost of the waiting request if it is higher than that of the granted one; an account that is capped below the
+// cost of its first request would never be owed it, and the urgency would starve.
+func (c *Core) ceiling(u api.Urgency, granted float64) float64 {
+	const minRequests = 2
+	request := granted
+	if front := c.queues[u].front(); front != nil {
+		request = max(request, c.times.meanOf(front.Service).Seconds())
+	}
+	ownSlots := c.floors[u] / 100 * float64(c.capacity) * c.times.overallMean().Seconds()
+	return max(minRequests*request, ownSlots)
+}
+
 // predictWait estimates the time until a new ticket of the urgency would be granted: the tickets before it over the
 // larger of its floor's rate and the rate that more urgent requests leave.
 func (c *Core) predictWait(now time.Time, u api.Urgency) time.Duration {
