Confirm the configuration by a peer that has the same revision

Cause: a heartbeat was passed on only if it reported a higher revision, so a peer with the same revision never confirmed it. Ruled out: lack of authority; the refusal named the missing confirmation. Change: RevisionSeen is called for an equal revision too.

--- a/membership/beat.go
+++ b/membership/beat.go
@@ -215,7 +215,7 @@
 }
 
 func (s *Service) notify(from api.Instance, m heartbeat, endpointsChanged bool) {
-	if s.config.RevisionSeen != nil && s.config.Revision != nil && m.Revision > s.config.Revision() {
+	if s.config.RevisionSeen != nil && s.config.Revision != nil && m.Revision >= s.config.Revision() {
 		s.config.RevisionSeen(from, m.Revision)
 	}
 	if s.config.EndpointsSeen != nil && endpointsChanged {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -55,8 +55,8 @@
 	Revision func() uint64
 	// EndpointVersion returns the version of the endpoints that this instance publishes. It may be nil.
 	EndpointVersion func() uint64
-	// RevisionSeen is called at every heartbeat that reports a higher revision than Revision. It may be nil and must not
-	// block.
+	// RevisionSeen is called at every heartbeat that reports no lower revision than Revision; an equal one confirms that
+	// Revision is in force elsewhere. It may be nil and must not block.
 	RevisionSeen func(from api.Instance, revision uint64)
 	// EndpointsSeen is called when a peer reports another endpoint version than before. It may be nil and must not block.
 	EndpointsSeen func(from api.Instance, version uint64)
