Learn owners, leaving workers and the first revision from all peers

An instance that starts with the table down knew no owners, since ownership.Learn had no caller. It now pulls them (KindOwnersPull) once a second until it has read the table, and is not ready while it knows none. 2. Only the rack's owner sends to a worker, and it learned of a leaving one from its own lagging directory or the worker. Another instance whose directory is ahead now tells the owner (KindWorkersLeaving; repeated every 5 s, valid for 15 s). 3. A restarted instance took the highest revision among the peers that it could reach. It now takes its first one only after all listed instances are heard, else it reports not ready. 4. A stopping instance kept connections open until it closed its server; a request that arrived at that moment got EOF. It now closes each connection after the answer while it stops. Ruled out for 2: the worker's own flag and the owner's directory, which pass without the change; for 3: what the peer has heard of, which is the older revision too. Conclusion: a revision that only a dead instance knew, with the table down, still cannot be found; nothing else in the fleet has it.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -94,6 +94,7 @@
 	trackers    *routing.Trackers
 	gateway     *gateway.Gateway
 	endpoints   *directoryOfEndpoints
+	leaving     *leavingNotices
 	store       *storeMonitor
 	gate        *gate
 	callers     *httpService
@@ -133,6 +134,7 @@
 		RegionOf: func(addr string) string { return i.members.View().RegionOfAddr(addr) },
 	})
 	i.endpoints = newDirectoryOfEndpoints(o.Self.ID, i.fetchEndpoints, func() { i.viewStale.Store(true) })
+	i.leaving = newLeavingNotices(o.Clock, func() { i.viewStale.Store(true) })
 	i.members = membership.New(membership.Config{
 		Self: o.Self, Rule: authority.Rule{Hold: o.Hold}, Clock: o.Clock, Table: i.store, Directory: o.Directory,
 		Messenger: i.transport, Log: i.log,
--- a/instance/messages.go
+++ b/instance/messages.go
@@ -29,6 +29,13 @@
 	peer.HandleTyped(t, peer.KindConfigPull, func(context.Context, peer.Sender, bundlePull) (rollout.Bundle, error) {
 		return i.rollout.Bundle()
 	})
+	peer.HandleTyped(t, peer.KindOwnersPull, func(context.Context, peer.Sender, ownersPull) (ownersReply, error) {
+		return i.knownOwners(), nil
+	})
+	peer.HandleTyped(t, peer.KindWorkersLeaving, func(_ context.Context, _ peer.Sender, m workersLeaving) (empty, error) {
+		i.leaving.heard(m.Workers)
+		return empty{}, nil
+	})
 	peer.HandleTyped(t, peer.KindTaskReport, func(ctx context.Context, _ peer.Sender, r runner.Report) (runner.ReportReply, error) {
 		return i.takeReport(ctx, r)
 	})
@@ -133,27 +140,51 @@
 // bundleSource implements rollout.PeerSource.
 type bundleSource struct{ *Instance }
 
-// Fetch implements rollout.PeerSource: it asks live instances until one has the revision.
+// Fetch implements rollout.PeerSource: it asks live instances until one has the revision. Without a revision of its own
+// it asks all.
 func (s bundleSource) Fetch(ctx context.Context, revision uint64) (rollout.Bundle, error) {
-	var best rollout.Bundle
-	found := false
+	if s.rollout.Ready() != nil {
+		return s.fetchFirst(ctx, revision)
+	}
 	for _, member := range s.live() {
 		if member.Lapsed || member.Revision < revision {
 			continue
 		}
 		bundle, err := call[rollout.Bundle](ctx, s.Instance, member.Instance.ID, peer.KindConfigPull, bundlePull{})
-		if err != nil || bundle.Revision < revision {
+		if err == nil && bundle.Revision >= revision {
+			return bundle, nil
+		}
+	}
+	return rollout.Bundle{}, fault.New(fault.CodeNotFound, "fetch configuration", "no peer has revision %d", revision)
+}
+
+// fetchFirst returns the highest bundle of all listed instances. It fails while one of them is not heard: before its
+// restart this instance may have had in force what only that one still knows.
+func (s bundleSource) fetchFirst(ctx context.Context, revision uint64) (rollout.Bundle, error) {
+	const op = "fetch first configuration"
+	view := s.members.View()
+	if !view.DirectoryRead {
+		return rollout.Bundle{}, fault.New(fault.CodeNotReady, op, "the directory has not been read")
+	}
+	var best rollout.Bundle
+	found := false
+	for id, member := range view.Members {
+		if member.Instance.Leaving {
 			continue
 		}
-		if !found || bundle.Revision > best.Revision {
-			best, found = bundle, true
+		if !member.Heard && member.Listed {
+			return best, fault.New(fault.CodeNotReady, op, "%s is listed and has not been heard", id)
+		}
+		bundle, err := call[rollout.Bundle](ctx, s.Instance, id, peer.KindConfigPull, bundlePull{})
+		if err != nil && member.Listed && !fault.Is(err, fault.CodeNotReady) {
+			return best, err
 		}
-		if found && revision > 0 {
-			break
+		if err == nil && bundle.Revision >= revision && (!found || bundle.Revision > best.Revision) {
+			best, found = bundle, true
 		}
 	}
 	if !found {
-		return best, fault.New(fault.CodeNotFound, "fetch configuration", "no peer has revision %d", revision)
+		return best, fault.New(fault.CodeNotFound, op, "no peer has revision %d", revision)
 	}
 	return best, nil
 }
--- a/instance/view.go
+++ b/instance/view.go
@@ -35,7 +35,9 @@
 // Start builds the first view.
 func (v *viewService) Start(ctx context.Context) error {
 	built := time.Time{}
+	learner := &ownerLearner{Instance: v.Instance}
 	refresh := func() {
+		learner.refresh()
 		v.gate.refresh()
 		now := v.options.Clock.Now()
 		if v.viewStale.Swap(false) || now.Sub(built) >= viewMaxAge {
@@ -55,10 +57,12 @@
 
 func (v *viewService) build() {
 	members := v.members.View()
-	v.runner.SetWorkers(members.Workers, v.drains.Workers())
+	v.tellOwners(members.Workers)
+	listed := v.leaving.join(members.Workers)
+	v.runner.SetWorkers(listed, v.drains.Workers())
 	v.endpoints.retain(func(id api.InstanceID) bool { _, ok := members.Members[id]; return ok })
-	workers := make(map[api.WorkerID]api.Worker, len(members.Workers))
-	for _, w := range members.Workers {
+	workers := make(map[api.WorkerID]api.Worker, len(listed))
+	for _, w := range listed {
 		workers[w.ID] = w
 	}
 	snapshot := routing.NewSnapshot(routing.Input{
@@ -133,6 +137,8 @@
 		return refuse(fault.CodeNotReady, "the directory has not been read")
 	case g.rollout.Ready() != nil:
 		return refuse(fault.CodeNotReady, "no configuration has been read")
+	case len(g.owners.View().Units) == 0:
+		return refuse(fault.CodeNotReady, "the owners of units are not known")
 	case !held.Valid:
 		return refuse(fault.CodeNoAuthority, "neither the store nor a majority of the region confirms this instance")
 	case g.rollout.Confirmed().Before(g.termAt):
@@ -153,10 +159,14 @@
 }
 
 // wrap refuses requests of callers while the gate is closed. A stopping instance still serves those that the balancer
-// sends until the gateway's own drain begins.
+// sends until the gateway's own drain begins. It closes each connection after the answer: a request that arrives on an
+// idle connection at the moment at which the server closes it would be cut off.
 func (g *gate) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		refusal := g.refusal.Load()
+		if g.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if refusal == nil || refusal.FailureCode == fault.CodeStopping {
 			next.ServeHTTP(w, r)
 			return
--- a/peer/message.go
+++ b/peer/message.go
@@ -32,6 +32,10 @@
 	KindForwardKeyed
 	// KindExplain asks the coordinator why work waits.
 	KindExplain
+	// KindOwnersPull asks for the owners of units.
+	KindOwnersPull
+	// KindWorkersLeaving tells the owner of a rack that workers leave.
+	KindWorkersLeaving
 )
 
 // Purpose classes traffic for counting and budgets.
