--- a/capacity/coordinator_test.go
+++ b/capacity/coordinator_test.go
@@ -44,6 +44,8 @@
 func (s *soleOwner) Claim(api.Unit) (coordinator.Claim, bool) {
 	return coordinator.Claim{Owner: self, Epoch: 1}, true
 }
+func (s *soleOwner) ReportExpected(api.Unit) bool { return true }
+
 func (s *soleOwner) Check(api.Unit) (api.Epoch, error) { return 1, nil }
 func (s *soleOwner) Work() *api.WorkSet                { return s.work }
 func (s *soleOwner) Workers() ([]api.Worker, map[api.WorkerID]bool) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -55,6 +55,8 @@
 type Cluster interface {
 	// Claim returns the owner of a unit; ok is false if nobody owns it.
 	Claim(unit api.Unit) (claim Claim, ok bool)
+	// ReportExpected reports whether the unit's owner is heard, or the unit is still to be claimed.
+	ReportExpected(unit api.Unit) bool
 	// Check returns the epoch of a unit that this instance owns and may act for.
 	Check(unit api.Unit) (api.Epoch, error)
 	// Work returns the configuration in force; nil before the first one.
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -86,13 +86,14 @@
 	Restore(data []byte) error
 }
 
-// settleTime is the longest wait of a new coordinator for reports of all racks before it places tasks. Owners report once
-// a second, so 1.5 s suffices for racks that have one; a longer wait would take from the 8.7 s within which urgent work
-// starts after the death of a coordinator. Without the wait all tasks of a work go to the rack that reports first, and
-// the spread over data centres is lost for good, since running tasks are not moved.
-const settleTime = 1500 * time.Millisecond
+// settleTime is the longest wait of a new coordinator for reports of all racks before it places tasks. Without the wait
+// all tasks of a work go to the rack that reports first, and the spread over data centres is lost for good, since running
+// tasks are not moved. With 1.5 s a fleet that has just started lost its spread, because racks were claimed later.
+const settleTime = 3 * time.Second
 
-// settle reports whether every listed worker has been reported once, or the time for that is over.
+// settle reports whether every listed worker whose rack may report has been reported as reachable, or the time for that is
+// over.
+// Racks of an instance that is not heard are not waited for, because urgent work has to start within 8.7 s after its death.
 func (c *Coordinator) settle(t *term) bool {
 	if t.settled {
 		return true
@@ -100,7 +101,8 @@
 	if c.options.Clock.Since(t.loadedAt) < settleTime {
 		workers, _ := c.options.Cluster.Workers()
 		for _, w := range workers {
-			if _, reported := t.workers[w.ID]; !reported {
+			// The first report of a rack may come before its workers have answered a fence.
+			if !t.workers[w.ID].Reachable && c.options.Cluster.ReportExpected(api.RackUnit(w.Location.DataCentre, w.Location.Rack)) {
 				return false
 			}
 		}
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -209,6 +209,8 @@
 	return Claim{Owner: "i2", Epoch: 5}, h.owned
 }
 
+func (h *harness) ReportExpected(api.Unit) bool { return true }
+
 func (h *harness) Check(api.Unit) (api.Epoch, error) { return 1, nil }
 
 func (h *harness) Work() *api.WorkSet {
--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -32,6 +32,7 @@
 		i.loop.Post(func() { i.runner.Claimed(unit, epoch) })
 	case api.UnitCoordinator:
 		i.loop.Post(func() { i.coordinator.Claimed(epoch) })
+		go i.announceCoordinator(epoch)
 	}
 	i.emit(audit.Event{
 		Actor: string(i.options.Self.ID), Action: "claim", Subject: unit.Key(), From: string(previous),
@@ -131,6 +132,28 @@
 	return coordinator.Claim{Owner: owner.Instance, Epoch: owner.Epoch}, true
 }
 
+// ReportExpected implements coordinator.Cluster.
+func (i *Instance) ReportExpected(unit api.Unit) bool {
+	owner := i.owners.View().Units[unit].Instance
+	if owner == "" || owner == i.options.Self.ID {
+		return true
+	}
+	member, known := i.members.View().Members[owner]
+	return known && member.Status != membership.StatusSuspect
+}
+
+// announceCoordinator lets the others read the units at once instead of at their next poll, so that their reports come.
+func (i *Instance) announceCoordinator(epoch api.Epoch) {
+	message := ownership.Handover{Unit: api.Coordinator, Epoch: epoch}
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	for _, member := range i.live() {
+		if err := i.transport.Send(ctx, member.Instance.Addr, peer.KindHandover, message); err != nil {
+			i.log.Debug().Str("peer", string(member.Instance.ID)).Err(err).Msg("coordinator not announced")
+		}
+	}
+}
+
 // Check implements coordinator.Cluster.
 func (i *Instance) Check(unit api.Unit) (api.Epoch, error) { return i.owners.Check(unit) }
 
--- a/instance/inputs_test.go
+++ b/instance/inputs_test.go
@@ -13,8 +13,8 @@
 	return viewInputs{
 		work:    work,
 		drained: map[api.WorkerID]bool{},
+		workers: []api.Worker{{ID: "w1", Slots: 8}},
 		members: &membership.View{
-			Workers: []api.Worker{{ID: "w1", Slots: 8}},
 			Members: map[api.InstanceID]membership.Member{"i2": {Status: membership.StatusLive, Heard: true}},
 		},
 	}
@@ -36,10 +36,10 @@
 			in.members.At++
 			change(*in, "i2", func(m *membership.Member) { m.LastHeard++; m.RowVersion++ })
 		}, true},
-		{"a worker leaves", func(in *viewInputs) { in.members.Workers[0].Leaving = true }, false},
-		{"a worker has restarted at another address", func(in *viewInputs) { in.members.Workers[0].Addr = "a" }, false},
+		{"a worker leaves", func(in *viewInputs) { in.workers[0].Leaving = true }, false},
+		{"a worker has restarted at another address", func(in *viewInputs) { in.workers[0].Addr = "a" }, false},
 		{"a worker is listed", func(in *viewInputs) {
-			in.members.Workers = append(in.members.Workers, api.Worker{ID: "w2"})
+			in.workers = append(in.workers, api.Worker{ID: "w2"})
 		}, false},
 		{"a worker is drained", func(in *viewInputs) { in.drained["w1"] = true }, false},
 		{"an instance is suspect", func(in *viewInputs) {
@@ -72,13 +72,13 @@
 	for _, count := range []int{50, 200, 810} {
 		b.Run(fmt.Sprintf("workers=%d", count), func(b *testing.B) {
 			in := sampleInputs(&api.WorkSet{})
-			in.members.Workers = make([]api.Worker, count)
-			for i := range in.members.Workers {
-				in.members.Workers[i] = api.Worker{ID: api.WorkerID(fmt.Sprintf("w%04d", i)), Location: api.Location{Rack: "r1"}}
+			in.workers = make([]api.Worker, count)
+			for i := range in.workers {
+				in.workers[i] = api.Worker{ID: api.WorkerID(fmt.Sprintf("w%04d", i)), Location: api.Location{Rack: "r1"}}
 			}
 			built := in
 			view := *in.members
-			view.Workers = slices.Clone(view.Workers)
+			built.workers = slices.Clone(in.workers)
 			built.members = &view
 			for b.Loop() {
 				if !in.equal(&built) {
--- a/instance/view.go
+++ b/instance/view.go
@@ -41,7 +41,9 @@
 func (v *viewService) Start(ctx context.Context) error {
 	v.viewStale.Store(true)
 	compared := time.Time{}
+	learner := &ownerLearner{Instance: v.Instance}
 	refresh := func() {
+		learner.refresh()
 		v.gate.refresh()
 		now := v.options.Clock.Now()
 		stale := v.viewStale.Swap(false)
@@ -49,6 +51,7 @@
 			return
 		}
 		compared = now
+		v.tellOwners(v.members.View().Workers)
 		if inputs := v.inputs(); stale || !inputs.equal(&v.built) {
 			v.build(inputs)
 			v.built = inputs
@@ -66,10 +69,10 @@
 
 func (v *viewService) build(inputs viewInputs) {
 	members := inputs.members
-	v.runner.SetWorkers(members.Workers, inputs.drained)
+	v.runner.SetWorkers(inputs.workers, inputs.drained)
 	v.endpoints.retain(func(id api.InstanceID) bool { _, ok := members.Members[id]; return ok })
-	workers := make(map[api.WorkerID]api.Worker, len(members.Workers))
-	for _, w := range members.Workers {
+	workers := make(map[api.WorkerID]api.Worker, len(inputs.workers))
+	for _, w := range inputs.workers {
 		workers[w.ID] = w
 	}
 	snapshot := routing.NewSnapshot(routing.Input{
@@ -148,6 +151,8 @@
 		return refuse(fault.CodeNotReady, "the directory has not been read")
 	case g.rollout.Ready() != nil:
 		return refuse(fault.CodeNotReady, "no configuration has been read")
+	case len(g.owners.View().Units) == 0:
+		return refuse(fault.CodeNotReady, "the owners of units are not known")
 	case !held.Valid:
 		return refuse(fault.CodeNoAuthority, "neither the store nor a majority of the region confirms this instance")
 	case g.rollout.Confirmed().Before(g.termAt):
@@ -168,10 +173,14 @@
 }
 
 // wrap refuses requests of callers while the gate is closed. A stopping instance still serves those that the balancer
-// sends until the gateway's own drain begins.
+// sends until the gateway's own drain begins. It closes each connection after the answer: a request that arrives on an
+// idle connection at the moment at which the server closes it would be cut off.
 func (g *gate) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		refusal := g.refusal.Load()
+		if g.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if refusal == nil || refusal.FailureCode == fault.CodeStopping {
 			next.ServeHTTP(w, r)
 			return
--- a/runner/report.go
+++ b/runner/report.go
@@ -18,11 +18,12 @@
 	}
 }
 
-// ReportFully makes the next report of every rack a full one. It is called when the coordinator has changed.
+// ReportFully sends a full report of every rack. It is called when the coordinator has changed.
 func (r *Runner) ReportFully() {
 	for _, owned := range r.racks {
 		owned.fullReport = owned.claimedAt
 	}
+	r.reportAll()
 }
 
 func (r *Runner) reportAll() {
