Count the session row as news of the revision in force

Cause: acceptance of a configuration waited for a heartbeat of every instance. Beyond 8 peers heartbeats take turns, and at 22 instances those to other regions come every 7 to 8 s.

Ruled out: more heartbeats a tick, because they are bounded to 8.

Change: a member's revision is the higher of the two, if the row is of the session that was heard last.

--- a/membership/session.go
+++ b/membership/session.go
@@ -211,7 +211,7 @@
 		return
 	}
 	p := s.peer(id)
-	p.rowSession = value.Session
+	p.rowSession, p.rowRevision = value.Session, value.Revision
 	if !p.described {
 		p.instance, p.described = value.Instance, true
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -93,6 +93,17 @@
 	// echoed is set once the peer has echoed a heartbeat of this run, so that it knows this instance.
 	echoed     bool
 	rowSession uint64
+	// rowRevision is the configuration revision that the session row names.
+	rowRevision uint64
+}
+
+// revision returns the highest configuration revision that the present session is known to have in force. In a large
+// fleet heartbeats take turns and the session row is often the later news; a row of an earlier session says nothing.
+func (p *peerState) revision() uint64 {
+	if p.rowSession == p.session {
+		return max(p.last.Revision, p.rowRevision)
+	}
+	return p.last.Revision
 }
 
 func (s *Service) peer(id api.InstanceID) *peerState {
@@ -128,7 +139,7 @@
 		Listed:          listed,
 		Heard:           p.heard,
 		LastHeard:       p.at,
-		Revision:        p.last.Revision,
+		Revision:        p.revision(),
 		EndpointVersion: p.last.EndpointVersion,
 		StoreReachable:  p.last.Flags&flagStoreReachable != 0,
 		Lapsed:          s.observer.Lapsed(id, instance.Location.Region, now),
