--- a/replay/advance.go
+++ b/replay/advance.go
@@ -31,13 +31,15 @@
 			}
 		}
 	}
-	for _, w := range r.workers {
+	for i, w := range r.workers {
 		w.settle(r.now)
 		for _, a := range slices.Clone(w.attempts) {
 			r.move(a)
 		}
 		r.killOverMemory(w)
-		r.report(w)
+		if (r.now+i)%reportSeconds == 0 {
+			r.report(w)
+		}
 	}
 }
 
@@ -143,9 +145,6 @@
 
 // report sends a usage report, with noise, on its way.
 func (r *replayer) report(w *worker) {
-	if (r.now+slices.Index(r.workers, w))%reportSeconds != 0 {
-		return
-	}
 	rep := report{arrives: r.now + reportLag, used: w.used}
 	for _, a := range w.attempts {
 		if r.now < a.runsFrom {
@@ -212,9 +211,13 @@
 	}
 }
 
+// snapshot returns the state for the next cycle. Its slices are used again for the one after that; a plan holds none of
+// them.
 func (r *replayer) snapshot() *scheduler.Snapshot {
 	r.revision++
-	s := &scheduler.Snapshot{Revision: r.revision, Specs: r.specs, Teams: r.teams}
+	s := &r.state
+	s.Revision, s.Specs, s.Teams = r.revision, r.specs, r.teams
+	s.Workers, s.Tasks = s.Workers[:0], s.Tasks[:0]
 	for _, w := range r.workers {
 		s.Workers = append(s.Workers, scheduler.Worker{
 			Worker: w.Worker, Quarantine: r.engine.Quarantine.Of(w.ID, r.time()), Pressure: r.engine.Pressure.Of(w.ID),
--- a/replay/measures.go
+++ b/replay/measures.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -50,27 +52,25 @@
 	return Replay(ctx, site, events, seed, policy)
 }
 
-// Replay replays events with a policy until ctx ends. A trace with a flood is replayed without it as well.
+// Replay replays events with a policy until ctx ends. A trace with a flood is replayed without it as well, at the same
+// time.
 func Replay(ctx context.Context, site Site, events []Event, seed uint64, policy Policy) (Measures, error) {
-	r := newReplayer(site, policy, seed)
-	if err := r.replay(ctx, events, true); err != nil {
+	r, calm := newReplayer(site, policy, seed), newReplayer(site, policy, seed)
+	flooded := slices.ContainsFunc(events, func(e Event) bool { return e.Flood })
+	var group errgroup.Group
+	if flooded {
+		group.Go(func() error { return calm.replay(ctx, events, false) })
+	}
+	group.Go(func() error { return r.replay(ctx, events, true) })
+	if err := group.Wait(); err != nil {
 		return Measures{}, err
 	}
 	m := r.measures()
-	flooded := false
-	for i := range events {
-		flooded = flooded || events[i].Flood
-	}
-	if !flooded {
-		return m, nil
+	if flooded {
+		m.FloodThroughput = ratioOf(r.c.urgentAnswered, calm.c.urgentAnswered)
+		m.FloodP99 = ratioOf(m.UrgentP99, calm.measures().UrgentP99)
+		m.FloorKept = r.floorsKept()
 	}
-	calm := newReplayer(site, policy, seed)
-	if err := calm.replay(ctx, events, false); err != nil {
-		return Measures{}, err
-	}
-	m.FloodThroughput = ratioOf(r.c.urgentAnswered, calm.c.urgentAnswered)
-	m.FloodP99 = ratioOf(m.UrgentP99, calm.measures().UrgentP99)
-	m.FloorKept = r.floorsKept()
 	return m, nil
 }
 
@@ -134,14 +134,12 @@
 	Decision, Baseline Measures
 }
 
-// parallelReplays bounds the replays that run at one time; each is independent of the others.
-const parallelReplays = 4
-
-// Compare replays the traces of the sites with the decision and with the baseline.
+// Compare replays the traces of the sites with the decision and with the baseline, as many at one time as Go may use
+// processors; each replay is independent of the others.
 func Compare(ctx context.Context, sites []Site, traces []string, seed uint64) ([]Comparison, error) {
 	results := make([]Comparison, len(sites)*len(traces))
 	var group errgroup.Group
-	group.SetLimit(parallelReplays)
+	group.SetLimit(runtime.GOMAXPROCS(0))
 	for i := range results {
 		site, trace := sites[i/len(traces)], traces[i%len(traces)]
 		results[i].Site, results[i].Trace = site.Name, trace
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -55,6 +55,7 @@
 	runs     map[string]*jobRun
 	runNames []string
 	revision uint64
+	state    scheduler.Snapshot
 	c        counters
 }
 
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"math"
 	"os"
+	"runtime/debug"
 	"sync"
 	"testing"
 
@@ -14,6 +15,14 @@
 	"bronzehook/fault"
 )
 
+// gcPercent lets the collector run less often: replays keep little memory alive and allocate a lot.
+const gcPercent = 400
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(gcPercent)
+	os.Exit(m.Run())
+}
+
 var update = flag.Bool("update", false, "write the recorded traces and the golden table anew")
 
 // recordedSeed is the generator's seed of the recorded traces.
@@ -133,15 +142,18 @@
 	patient := Baseline()
 	patient.Options.Eviction.ForRoom = false
 	for i, site := range Sites() {
-		baseline, err := Run(t.Context(), site, TraceNoisyWaves, tableSeed, patient)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, c := range comparisons[i*len(Traces()) : (i+1)*len(Traces())] {
-			if c.Trace == TraceNoisyWaves && float64(c.Decision.Missed) > maxOfBaseline*float64(baseline.Missed) {
-				t.Errorf("%s: %d runs late, baseline %d", site.Name, c.Decision.Missed, baseline.Missed)
+		t.Run(site.Name, func(t *testing.T) {
+			t.Parallel()
+			baseline, err := Run(t.Context(), site, TraceNoisyWaves, tableSeed, patient)
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
+			for _, c := range comparisons[i*len(Traces()) : (i+1)*len(Traces())] {
+				if c.Trace == TraceNoisyWaves && float64(c.Decision.Missed) > maxOfBaseline*float64(baseline.Missed) {
+					t.Errorf("%d runs late, baseline %d", c.Decision.Missed, baseline.Missed)
+				}
+			}
+		})
 	}
 }
 
