Announce a revision by heartbeat as soon as it is in force

Cause: a revision that an instance had recorded was known to the others only after the next heartbeat, up to 1 s later, or their own poll of the table. If the recording instance died in between and the table went down, the fleet went back to the earlier revision. Ruled out: announcing the revision before the commit, since a commit that fails would leave starting instances waiting for a revision that does not exist. Change: each instance sends one heartbeat to all when a revision is in force on it. Conclusion: the gap shrinks to the time between the commit and the delivery of the heartbeat; an instance that dies within it, with the table down, still takes its revision along.

--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -23,6 +23,7 @@
 		file := fmt.Sprintf("6%d-team.yaml", number)
 		revision := f.apply(n, map[string]string{file: "kind: team\nname: team-" + string(rune('a'+number)) + "\n"})
 		recorded := time.Since(begun)
+		f.within(knownWithin, "the others know of the revision", func() bool { return f.knownToAll(revision) })
 		f.within(acceptWithin, "the change is accepted", func() bool { return f.accepted(n, revision) })
 		t.Logf("change %d through %s: recorded in %v, accepted %v after recording", number, n.self.ID, recorded, time.Since(begun)-recorded)
 	}
@@ -35,6 +36,21 @@
 	f.check()
 }
 
+// knownWithin is the time after a record within which the others know that the revision exists, so that the death of the
+// instance that recorded it takes no instance back to an earlier one.
+const knownWithin = 250 * time.Millisecond
+
+// knownToAll reports whether every instance has a revision or has heard of it.
+func (f *fleet) knownToAll(revision uint64) bool {
+	for _, n := range f.nodes {
+		bundle, err := n.rollout.Bundle()
+		if err != nil || bundle.Known < revision {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fleet) tableCalls() (reads, writes int64) {
 	for _, n := range f.nodes {
 		reads += n.table.reads.Load()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -100,6 +100,9 @@
 	callers     *httpService
 	operators   *operator.Server
 
+	// endAnnouncements ends the subscription of announceRevisions.
+	endAnnouncements context.CancelFunc
+
 	// viewStale is set when what routing sees has to be built anew.
 	viewStale atomic.Bool
 	stopping  atomic.Bool
@@ -214,7 +217,21 @@
 }
 
 // Start starts all services. It does not wait for the platform, which may be down.
-func (i *Instance) Start(ctx context.Context) error { return i.kernel.Start(ctx) }
+func (i *Instance) Start(ctx context.Context) error {
+	if err := i.announceRevisions(); err != nil {
+		return err
+	}
+	return i.kernel.Start(ctx)
+}
+
+// announceRevisions tells the others of each revision as soon as it is in force here. Until the next heartbeat, a
+// recorded revision would be known to one instance only, and lost to the fleet if that one died while the table is down.
+func (i *Instance) announceRevisions() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.endAnnouncements = cancel
+	announce := func(rollout.InForce) { i.members.Announce() }
+	return kernel.Subscribe(ctx, i.kernel.Bus(), rollout.TopicInForce, announce)
+}
 
 // CallerAddr returns the address that serves callers.
 func (i *Instance) CallerAddr() string { return i.callers.listener.Addr().String() }
@@ -240,6 +257,7 @@
 	handover := i.owners.HandOver(ctx)
 	err := errors.CombineErrors(<-drained, handover)
 	err = errors.CombineErrors(err, i.kernel.Stop(ctx))
+	i.endAnnouncements()
 	i.ledger.Close()
 	i.log.Info().Msg("stop done")
 	return err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -184,6 +184,13 @@
 	s.beat(context.Background(), math.MaxInt)
 }
 
+// Announce sends a heartbeat to all at once instead of at the next period, after something that it reports has changed.
+func (s *Service) Announce() {
+	if !s.leaving.Load() {
+		s.beat(context.Background(), math.MaxInt)
+	}
+}
+
 // Start begins to send heartbeats and to poll. It does not wait for the platform, which may be down.
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
