Log why work waits when a session does not start

Cause: 'all tasks run' was missed within 15 s in two session starts, and the log did not name the tasks. Change: the session logs the coordinator's explanation and the owners after that failure. Ruled out: a slow machine alone; 18 starts in a row, 3 at a time, all passed.

--- a/instance/cut_test.go
+++ b/instance/cut_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,7 @@
 	f.t.Helper()
 	f.within(readyWithin, "all instances are ready", f.allReady)
 	revision := f.apply(f.nodes[montego], baseFolder())
+	defer f.explainIfFailed("shop", "feed", "feedc", "index")
 	f.within(readyWithin, "all tasks run", func() bool {
 		return f.startedOf("shop") == 6 && f.startedOf("feed") == 2 && f.startedOf("feedc") == 2 && f.startedOf("index") == 2
 	})
@@ -40,6 +42,22 @@
 	return revision
 }
 
+// explainIfFailed logs why work waits after a failure.
+func (f *fleet) explainIfFailed(works ...string) {
+	if !f.t.Failed() {
+		return
+	}
+	for _, work := range works {
+		explanation, err := f.nodes[montego].Explain(context.Background(), work)
+		f.t.Logf("%s: %d started, %+v, %v", work, f.startedOf(work), explanation.Tasks, err)
+	}
+	for unit, owner := range f.nodes[montego].owners.View().Units {
+		if unit.Kind != api.UnitShard {
+			f.t.Logf("%s: owner %s, epoch %d", unit.Key(), owner.Instance, owner.Epoch)
+		}
+	}
+}
+
 // watchRevisions samples the revision of every instance and fails the test if one goes down.
 func (f *fleet) watchRevisions() (end func()) {
 	var stopped atomic.Bool
