Let callers of the sessions retry beyond a takeover

Cause: callers gave up after three attempts, which with time-outs of 3 s may end before a dead owner's shards are claimed, so that no retry of a request in flight met the new owner.

Change: six attempts.

--- a/session/load_test.go
+++ b/session/load_test.go
@@ -15,8 +15,8 @@
 	loadCallers = 9
 	// loadPause is the pause of a caller between two keys; nine callers then send about 300 keys a second.
 	loadPause = 10 * time.Millisecond
-	// maxAttempts bounds a caller's attempts at one key.
-	maxAttempts = 3
+	// maxAttempts bounds attempts at one key; with time-outs of 3 s they reach beyond a takeover.
+	maxAttempts = 6
 )
 
 // sent is one attempt at a key.
