Report a worker's reachability as soon as it changes

The coordinator's explanation said '4 unreachable': a rack's first report came before its workers had answered the fence, and their state was sent only with full reports, every 30 s.

Ruled out: assignment, refusal and quarantine; nothing was assigned at all.

--- a/runner/fake_test.go
+++ b/runner/fake_test.go
@@ -60,7 +60,9 @@
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.booted) }
 
 func (w *fakeWorker) inventory() platform.Inventory {
-	inventory := platform.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: w.boot, OlderRequests: w.older}
+	inventory := platform.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: w.boot, Leaving: w.info.Leaving,
+		OlderRequests: w.older,
+	}
 	for id, status := range w.tasks {
 		if !status.State.Ended() && w.clock() > w.leaseEnds[id] {
 			status.State = api.SeenStopped
@@ -183,6 +185,7 @@
 	authority bool
 	recorded  []Ref
 	reports   []AttemptReport
+	workers   []WorkerReport
 	endpoints []api.Endpoint
 }
 
@@ -230,6 +233,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports = append(h.reports, report.Attempts...)
+	h.workers = append(h.workers, report.Workers...)
 	return ReportReply{Recorded: h.recorded}, nil
 }
 
--- a/runner/report.go
+++ b/runner/report.go
@@ -18,6 +18,11 @@
 	}
 }
 
+// report returns what the coordinator has to know of the worker.
+func (w *worker) report() WorkerReport {
+	return WorkerReport{Worker: w.info.ID, Reachable: w.unreachableSince.IsZero(), Leaving: w.info.Leaving}
+}
+
 // ReportFully sends a full report of every rack. It is called when the coordinator has changed.
 func (r *Runner) ReportFully() {
 	for _, owned := range r.racks {
@@ -41,10 +46,8 @@
 	full := owned.fullReport.Equal(owned.claimedAt) || now.Sub(owned.fullReport) >= FullReportInterval
 	message := Report{From: r.options.Self, Unit: owned.unit, Epoch: owned.epoch, Full: full, Usage: owned.pendingUse}
 	for id, w := range owned.workers {
-		if full {
-			message.Workers = append(message.Workers, WorkerReport{
-				Worker: id, Reachable: w.unreachableSince.IsZero(), Leaving: w.info.Leaving,
-			})
+		if state := w.report(); full || state != w.reported {
+			message.Workers = append(message.Workers, state)
 		}
 		for _, a := range w.attempts {
 			if full || a.changed || a.status.State.Ended() {
@@ -52,7 +55,7 @@
 			}
 		}
 	}
-	if !full && len(message.Attempts) == 0 && len(message.Usage) == 0 {
+	if !full && len(message.Attempts) == 0 && len(message.Usage) == 0 && len(message.Workers) == 0 {
 		return
 	}
 	owned.reporting = true
@@ -79,6 +82,9 @@
 }
 
 func (r *Runner) reported(owned *rack, message Report, reply ReportReply) {
+	for _, sent := range message.Workers {
+		owned.workers[sent.Worker].reported = sent
+	}
 	for _, sent := range message.Attempts {
 		a := owned.workers[sent.Worker].attempts[sent.Task]
 		if a != nil && a.status.Attempt == sent.Attempt && a.status.State == sent.State {
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -220,3 +220,32 @@
 		}
 	})
 }
+
+// Guards against a worker that gets no tasks for 30 s, because its rack's first report came before its fence and later
+// ones did not say that it answers; and against one that still gets tasks after it is lost or leaves.
+func TestChangedWorkerIsReportedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.worker.unreachable = true
+		h.claim(t)
+		changes := []struct {
+			change func()
+			want   WorkerReport
+		}{
+			{func() {}, WorkerReport{Worker: "w1"}},
+			{func() { h.worker.unreachable = false }, WorkerReport{Worker: "w1", Reachable: true}},
+			{func() { h.worker.info.Leaving = true }, WorkerReport{Worker: "w1", Reachable: true, Leaving: true}},
+			{func() { h.worker.unreachable = true }, WorkerReport{Worker: "w1", Leaving: true}},
+		}
+		for _, c := range changes {
+			h.worker.change(c.change)
+			time.Sleep(3 * PollInterval)
+			h.mu.Lock()
+			got := h.workers[len(h.workers)-1]
+			h.mu.Unlock()
+			if got != c.want {
+				t.Errorf("last report of the worker = %+v, want %+v", got, c.want)
+			}
+		}
+	})
+}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -24,6 +24,8 @@
 	// unreachableSince is zero while the worker answers.
 	unreachableSince time.Time
 	attempts         map[api.TaskID]*attempt
+	// reported is what the coordinator was last told of this worker.
+	reported WorkerReport
 	// endpoints is what was last published of this worker.
 	endpoints []api.Endpoint
 }
