Wait for claims of racks to be read before a new coordinator places tasks

Cause: TestRegionCut was red (3 of 406 requests in the cut region refused as no-endpoint): the coordinator had its report of a rack before it had read the rack's claim, so the rack's workers were not in its view, and the service got no replica in the region that was cut off afterwards.

Ruled out: the score for spread; the rack was not among the candidates.

Change: the wait ends only for racks whose claim is read and whose workers are reported as reachable.

--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -101,8 +101,11 @@
 	if c.options.Clock.Since(t.loadedAt) < settleTime {
 		workers, _ := c.options.Cluster.Workers()
 		for _, w := range workers {
-			// The first report of a rack may come before its workers have answered a fence.
-			if !t.workers[w.ID].Reachable && c.options.Cluster.ReportExpected(api.RackUnit(w.Location.DataCentre, w.Location.Rack)) {
+			// The first report of a rack may come before its workers have answered a fence, and also before the claim of
+			// the rack was read here; both keep its workers out of the view.
+			unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
+			_, owned := c.options.Cluster.Claim(unit)
+			if (!owned || !t.workers[w.ID].Reachable) && c.options.Cluster.ReportExpected(unit) {
 				return false
 			}
 		}
