Show use and reachability of workers, authenticate callers by token

Cause: status showed no use of workers and neither lost nor quarantined ones; callers' teams were believed from a header, with no way to demand a token; a request for an instance that is not heard waited for an answer until its deadline.

Ruled out: every instance keeping all workers' states; the coordinator has them and is asked.

Conclusion: an operator sees lost workers without reading logs.

--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -113,6 +113,9 @@
 	if options.PeerTLS, err = peerTLS(s); err != nil {
 		return options, err
 	}
+	if options.CallerTokens, err = callerTokens(s); err != nil {
+		return options, err
+	}
 	if s.CallerCert != "" {
 		certificate, err := tls.LoadX509KeyPair(s.CallerCert, s.CallerKey)
 		if err != nil {
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -261,3 +261,17 @@
 		}
 	})
 }
+
+// Guards against a status that shows a lost worker as live, or its tasks as gone.
+func TestWorkerStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.report(t, false, running(0, 1))
+		var states map[api.WorkerID]WorkerState
+		h.do(t, func() { states, _ = h.WorkerStates() })
+		want := map[api.WorkerID]WorkerState{"w1": {ID: "w1", Reachable: true, Tasks: 1, Used: api.Resources{MilliCPU: 100}}}
+		if diff := cmp.Diff(want, states); diff != "" {
+			t.Errorf("states (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -77,6 +77,9 @@
 	Decide(view View) Decision
 	// Reason says why a pending task was not placed when it was last tried; empty if it was not tried.
 	Reason(task api.TaskID) string
+	// Used returns the last measured use of a task, and Quarantined whether a worker gets no tasks because it failed all.
+	Used(task api.TaskID) api.Resources
+	Quarantined(worker api.WorkerID, now time.Time) bool
 	// Observe takes usage reports, which lag.
 	Observe(now time.Time, usage []runner.UsageReport)
 	// Ended takes the end of an attempt after the time that it ran, for what is learned about workers, sizes and run times.
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -305,6 +305,8 @@
 	return decision
 }
 
+func (placeAll) Used(api.TaskID) api.Resources                                  { return api.Resources{MilliCPU: 100} }
+func (placeAll) Quarantined(api.WorkerID, time.Time) bool                       { return false }
 func (placeAll) Export() ([]byte, error)                                        { return nil, nil }
 func (placeAll) Restore([]byte) error                                           { return nil }
 func (placeAll) Reason(api.TaskID) string                                       { return "" }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,6 +51,8 @@
 	CallerTLS     *tls.Config
 	PeerTLS       *tls.Config
 	OperatorToken string
+	// CallerTokens names callers by their bearer tokens; nil means that their team header is believed.
+	CallerTokens map[string]gateway.Caller
 
 	Table     platform.Table
 	Objects   platform.Objects
@@ -192,13 +194,23 @@
 	config.DrainTimeout = o.StopTimeout
 	config.Seed = i.session
 	i.gateway = gateway.New(config, gateway.Parts{
-		Self: o.Self, Clock: o.Clock, Log: i.log, Authenticator: gateway.HeaderAuthenticator{DefaultTeam: "default"},
+		Self: o.Self, Clock: o.Clock, Log: i.log, Authenticator: authenticatorOf(o),
 		Admission: i.admission, Quotas: i.quotas, Ledger: i.ledger, Peers: i, Dispatcher: dispatcher, Trackers: i.trackers,
 		Retries: admission.NewRetryBudget(admission.DefaultRetryConfig(), o.Clock.Now()),
 		Metrics: gateway.NewMetrics(i.registry, i.admission),
 	})
 }
 
+// defaultTeam is the team of callers that name none.
+const defaultTeam = "default"
+
+func authenticatorOf(o Options) gateway.Authenticator {
+	if o.CallerTokens == nil {
+		return gateway.HeaderAuthenticator{DefaultTeam: defaultTeam}
+	}
+	return gateway.NewBearerAuthenticator(o.CallerTokens)
+}
+
 func (i *Instance) buildRequests() {
 	i.gate = newGate(i)
 	server := i.gateway.NewServer()
--- a/instance/messages.go
+++ b/instance/messages.go
@@ -8,6 +8,7 @@
 	"bronzehook/dedup"
 	"bronzehook/dispatch"
 	"bronzehook/fault"
+	"bronzehook/membership"
 	"bronzehook/peer"
 	"bronzehook/runner"
 )
@@ -43,6 +44,9 @@
 		reports, err := i.takeOrders(ctx, o)
 		return ordersReply{Reports: reports}, err
 	})
+	peer.HandleTyped(t, peer.KindWorkerStates, func(ctx context.Context, _ peer.Sender, _ workerStatesQuery) (workerStatesReply, error) {
+		return i.workerStatesHere(ctx)
+	})
 	peer.HandleTyped(t, peer.KindExplain, func(ctx context.Context, _ peer.Sender, q explainQuery) (explainReply, error) {
 		return i.explainHere(ctx, q.Work)
 	})
@@ -77,14 +81,29 @@
 
 // Forward implements dispatch.Forwarder.
 func (i *Instance) Forward(ctx context.Context, owner api.InstanceID, m dispatch.ForwardRequest) (dispatch.Reply, error) {
+	if err := i.refuseSuspect(owner); err != nil {
+		return dispatch.Reply{}, err
+	}
 	return call[dispatch.Reply](ctx, i, owner, peer.KindForward, m)
 }
 
 // ForwardKeyed implements gateway.Peers.
 func (i *Instance) ForwardKeyed(ctx context.Context, owner api.InstanceID, m dispatch.KeyedRequest) (dispatch.Reply, error) {
+	if err := i.refuseSuspect(owner); err != nil {
+		return dispatch.Reply{}, err
+	}
 	return call[dispatch.Reply](ctx, i, owner, peer.KindForwardKeyed, m)
 }
 
+// refuseSuspect refuses to hand a request to an instance that is not heard. The request would wait for an answer until
+// its deadline and then count as unknown, although the caller may still be served elsewhere.
+func (i *Instance) refuseSuspect(owner api.InstanceID) error {
+	if i.members.View().Members[owner].Status != membership.StatusSuspect {
+		return nil
+	}
+	return fault.NotRun(&fault.Failure{FailureCode: fault.CodeUnreachable, Op: "hand over request", Detail: "instance " + string(owner) + " is not heard"})
+}
+
 // replicator implements dedup.Replicator.
 type replicator struct{ *Instance }
 
@@ -117,7 +136,7 @@
 	held := false
 	err := i.loop.Do(ctx, func() { reply, held = i.coordinator.HandleReport(report) })
 	if err == nil && !held {
-		err = fault.New(fault.CodeNotOwner, "report", "the coordinator duty is not held here")
+		err = notCoordinator("report")
 	}
 	return reply, err
 }
--- a/instance/operators.go
+++ b/instance/operators.go
@@ -14,10 +14,10 @@
 )
 
 // Status implements operator.StatusSource.
-func (i *Instance) Status(context.Context) (operator.Status, error) {
+func (i *Instance) Status(ctx context.Context) (operator.Status, error) {
 	status := operator.Status{
 		Instance: i.options.Self.ID, Revision: i.rollout.Snapshot().Revision, Instances: i.instanceStates(),
-		Workers: i.workerStates(), Ownership: i.unitStates(), Drains: operatorDrains{i}.list(),
+		Workers: i.workerStates(ctx), Ownership: i.unitStates(), Drains: operatorDrains{i}.list(),
 	}
 	reason, lastAnswer := i.store.health()
 	status.Store = operator.StoreState{Healthy: reason == "" && !lastAnswer.IsZero(), Reason: reason, LastAnswer: lastAnswer}
@@ -54,15 +54,25 @@
 	return "live"
 }
 
-func (i *Instance) workerStates() []operator.WorkerState {
+// workerStates joins the directory and the drains with what the coordinator knows. Without an answer of the coordinator
+// it shows the former alone and says so.
+func (i *Instance) workerStates(ctx context.Context) []operator.WorkerState {
 	drained := i.drains.Workers()
-	tasks := map[api.WorkerID]int{}
-	for _, e := range i.endpoints.all() {
-		tasks[e.Worker]++
-	}
+	reply, err := askCoordinator[workerStatesReply](ctx, i, peer.KindWorkerStates, workerStatesQuery{}, i.workerStatesHere)
 	var states []operator.WorkerState
 	for _, w := range i.members.View().Workers {
-		state := operator.WorkerState{ID: w.ID, Location: w.Location, Capacity: w.Capacity, Tasks: tasks[w.ID], State: "live"}
+		known, reported := reply.Workers[w.ID]
+		state := operator.WorkerState{
+			ID: w.ID, Location: w.Location, Capacity: w.Capacity, Tasks: known.Tasks, Used: known.Used, State: "live",
+		}
+		switch {
+		case err != nil:
+			state.Reason = "no answer of the coordinator"
+		case !reported || !known.Reachable:
+			state.State = "unreachable"
+		case known.Quarantined:
+			state.State = "quarantined"
+		}
 		switch {
 		case drained[w.ID]:
 			state.State = "drained"
@@ -74,6 +84,42 @@
 	return states
 }
 
+// workerStatesQuery asks the coordinator what it knows of the workers.
+type workerStatesQuery struct{}
+
+type workerStatesReply struct {
+	Workers map[api.WorkerID]coordinator.WorkerState `cbor:"1,keyasint,omitempty"`
+}
+
+func (i *Instance) workerStatesHere(ctx context.Context) (workerStatesReply, error) {
+	var reply workerStatesReply
+	held := false
+	err := i.loop.Do(ctx, func() { reply.Workers, held = i.coordinator.WorkerStates() })
+	if err == nil && !held {
+		err = notCoordinator("worker states")
+	}
+	return reply, err
+}
+
+func notCoordinator(op string) error {
+	return fault.New(fault.CodeNotOwner, op, "the coordinator duty is not held here")
+}
+
+// askCoordinator asks the instance that holds the coordinator duty, which may be this one.
+func askCoordinator[Reply, Query any](
+	ctx context.Context, i *Instance, kind peer.Kind, query Query, here func(context.Context) (Reply, error),
+) (Reply, error) {
+	owner := i.owners.View().Units[api.Coordinator].Instance
+	switch owner {
+	case "":
+		var none Reply
+		return none, fault.New(fault.CodeNotReady, "ask coordinator", "there is no coordinator")
+	case i.options.Self.ID:
+		return here(ctx)
+	}
+	return call[Reply](ctx, i, owner, kind, query)
+}
+
 func (i *Instance) unitStates() []operator.UnitState {
 	var states []operator.UnitState
 	for unit, owner := range i.owners.View().Units {
@@ -98,17 +144,8 @@
 	if !known {
 		return operator.Explanation{}, fault.New(fault.CodeNotFound, "explain", "no work is named %s", work)
 	}
-	owner := i.owners.View().Units[api.Coordinator].Instance
-	var reply explainReply
-	var err error
-	switch owner {
-	case "":
-		err = fault.New(fault.CodeNotReady, "explain", "there is no coordinator")
-	case i.options.Self.ID:
-		reply, err = i.explainHere(ctx, work)
-	default:
-		reply, err = call[explainReply](ctx, i, owner, peer.KindExplain, explainQuery{Work: work})
-	}
+	here := func(ctx context.Context) (explainReply, error) { return i.explainHere(ctx, work) }
+	reply, err := askCoordinator(ctx, i, peer.KindExplain, explainQuery{Work: work}, here)
 	if err != nil {
 		return operator.Explanation{}, err
 	}
@@ -120,7 +157,7 @@
 	held := false
 	err := i.loop.Do(ctx, func() { reply.Tasks, held = i.coordinator.Explain(work) })
 	if err == nil && !held {
-		err = fault.New(fault.CodeNotOwner, "explain", "the coordinator duty is not held here")
+		err = notCoordinator("explain")
 	}
 	return reply, err
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -30,6 +30,8 @@
 	KindBulk
 	// KindForwardKeyed hands a non-idempotent request to the owner of its shard.
 	KindForwardKeyed
+	// KindWorkerStates asks the coordinator what it knows of the workers.
+	KindWorkerStates
 	// KindExplain asks the coordinator why work waits.
 	KindExplain
 	// KindOwnersPull asks for the owners of units.
