--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/config/rollout/tabletest"
 	"bronzehook/runner"
 )
 
@@ -31,7 +31,7 @@
 		h := newHarness(t)
 		h.mu.Lock()
 		h.ordered = func(a runner.Assignment) {
-			record, _ := h.table.task(t, a.Task)
+			record, _ := h.record(t, a.Task)
 			if record.Attempt != a.Attempt || record.Wanted != api.WantedAssigned {
 				t.Errorf("attempt %d was ordered, the record is %+v", a.Attempt, record)
 			}
@@ -50,7 +50,7 @@
 func TestLostCommitReplyDoesNotStartTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.table.change(func() { h.table.loseReplies = 2 })
+		h.table.SetFaults(tabletest.Faults{LostReplies: 2})
 		h.report(t, false, stopped(1, true, "c1"))
 		time.Sleep(5 * time.Second)
 		want := []runner.Ref{{Task: testTask, Attempt: 1}, {Task: testTask, Attempt: 2}}
@@ -64,17 +64,14 @@
 func TestReplacedCoordinatorOrdersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		before, _ := h.table.task(t, testTask)
-		h.table.change(func() {
-			row := platform.Row{Key: api.Coordinator.Key(), Value: []byte("another owner"), Version: 2}
-			h.table.rows[row.Key] = row
-		})
+		before, _ := h.record(t, testTask)
+		h.setUnit(t, 1, "another owner")
 		h.report(t, false, stopped(1, true, "c1"))
 		time.Sleep(10 * time.Second)
 		if got := len(h.assignments()); got != 1 {
 			t.Errorf("%d assignments, want only the one before the duty was lost", got)
 		}
-		after, _ := h.table.task(t, testTask)
+		after, _ := h.record(t, testTask)
 		if diff := cmp.Diff(before, after); diff != "" {
 			t.Errorf("record changed after the duty was lost (-want +got):\n%s", diff)
 		}
@@ -91,7 +88,7 @@
 		time.Sleep(time.Second)
 		h.report(t, false, stopped(1, true, "c1"))
 		time.Sleep(time.Second)
-		record, _ := h.table.task(t, testTask)
+		record, _ := h.record(t, testTask)
 		if record.Attempt != 2 || record.Evictions != 1 || record.Checkpoint != "c1" || record.Wanted != api.WantedAssigned {
 			t.Errorf("record = %+v, want attempt 2 from c1 after one eviction", record)
 		}
@@ -106,19 +103,19 @@
 func TestResultIsAcknowledgedOnlyOnceRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.table.change(func() { h.table.down = true })
+		h.table.SetFaults(tabletest.Faults{Down: true})
 		for range 5 {
 			if reply := h.report(t, false, succeeded(1)); len(reply.Recorded) != 0 {
 				t.Fatalf("acknowledged %v while the store is down", reply.Recorded)
 			}
 			time.Sleep(time.Second)
 		}
-		h.table.change(func() { h.table.down = false })
+		h.table.SetFaults(tabletest.Faults{})
 		time.Sleep(5 * time.Second)
 		if reply := h.report(t, false, succeeded(1)); len(reply.Recorded) != 1 {
 			t.Error("not acknowledged after the store came back")
 		}
-		if record, _ := h.table.task(t, testTask); record.Wanted != api.WantedDone {
+		if record, _ := h.record(t, testTask); record.Wanted != api.WantedDone {
 			t.Errorf("record = %+v, want done", record)
 		}
 		if got := len(h.assignments()); got != 1 {
@@ -168,12 +165,12 @@
 		h := newHarness(t)
 		h.setReplicas(0)
 		time.Sleep(time.Second)
-		if _, ok := h.table.task(t, testTask); !ok {
+		if _, ok := h.record(t, testTask); !ok {
 			t.Fatal("the record is gone while the attempt may run")
 		}
 		h.report(t, false, stopped(1, true, ""))
 		time.Sleep(2 * time.Second)
-		if record, ok := h.table.task(t, testTask); ok {
+		if record, ok := h.record(t, testTask); ok {
 			t.Errorf("record %+v is left after the work was removed", record)
 		}
 		if got := len(h.assignments()); got != 1 {
@@ -235,7 +232,7 @@
 		end.Ref, end.State, end.Evicted = steps[0].Ref, api.SeenStopped, true
 		h.report(t, false, end)
 		time.Sleep(time.Second)
-		record, _ := h.table.task(t, steps[0].Task)
+		record, _ := h.record(t, steps[0].Task)
 		if record.Attempt != steps[0].Attempt+1 || record.Evictions != 0 {
 			t.Errorf("record = %+v, want the next attempt without an eviction", record)
 		}
--- a/coordinator/due_test.go
+++ b/coordinator/due_test.go
@@ -116,11 +116,7 @@
 	h.setOwned(false)
 	start := time.Now()
 	h.setReplicas(tasks)
-	recorded := func() int {
-		h.table.mu.Lock()
-		defer h.table.mu.Unlock()
-		return len(h.table.rows) - 1
-	}
+	recorded := func() int { return h.records(t) }
 	for recorded() < tasks {
 		if time.Since(start) > tasks/maxBatch*CycleInterval*3/4 {
 			t.Fatalf("%d of %d tasks are recorded", recorded(), tasks)
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,111 +11,62 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/config/rollout/tabletest"
 	"bronzehook/control"
 	"bronzehook/fault"
 	"bronzehook/platform"
 	"bronzehook/runner"
 )
 
-// fakeTable is a transactional table in memory whose replies can be lost and which can be down.
-type fakeTable struct {
-	mu      sync.Mutex
-	rows    map[string]platform.Row
-	results map[string]platform.CommitResult
-	down    bool
-	// loseReplies is the number of commits that take effect without a reply.
-	loseReplies int
-}
-
-func newFakeTable() *fakeTable {
-	return &fakeTable{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
-}
-
-var errStoreDown = fault.New(fault.CodeStoreUnavailable, "fake table", "down")
-
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return platform.Row{}, errStoreDown
-	}
-	return f.rows[key], nil
-}
-
-func (f *fakeTable) List(_ context.Context, prefix string) ([]platform.Row, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return nil, errStoreDown
-	}
-	var rows []platform.Row
-	for key, row := range f.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
+// record returns the record of a task, also while the table is down; ok is false if there is none.
+func (h *harness) record(t *testing.T, id api.TaskID) (record api.Task, ok bool) {
+	t.Helper()
+	for _, txn := range h.table.Log() {
+		for _, write := range txn.Writes {
+			if write.Key != taskKey(id) {
+				continue
+			}
+			ok = !write.Delete
+			if !ok {
+				continue
+			}
+			var err error
+			if record, err = decodeTask(write.Value); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
-	return rows, nil
+	return record, ok
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return platform.CommitResult{}, errStoreDown
-	}
-	if result, repeated := f.results[txn.OpID]; repeated {
-		return result, nil
-	}
-	for _, condition := range txn.Conditions {
-		if f.rows[condition.Key].Version != condition.Version {
-			return platform.CommitResult{}, fault.New(fault.CodeConflict, "fake table", "%s", condition.Key)
-		}
-	}
-	result := platform.CommitResult{Versions: map[string]uint64{}}
-	for _, write := range txn.Writes {
-		if write.Delete {
-			delete(f.rows, write.Key)
-			continue
-		}
-		version := f.rows[write.Key].Version + 1
-		f.rows[write.Key] = platform.Row{Key: write.Key, Value: write.Value, Version: version, OpID: txn.OpID}
-		result.Versions[write.Key] = version
-	}
-	f.results[txn.OpID] = result
-	if f.loseReplies > 0 {
-		f.loseReplies--
-		return platform.CommitResult{}, errStoreDown
+// records counts the tasks that have a record.
+func (h *harness) records(t *testing.T) int {
+	t.Helper()
+	rows, err := h.table.List(t.Context(), taskPrefix)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return result, nil
+	return len(rows)
 }
 
-func (f *fakeTable) change(change func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	change()
-}
-
-// task returns the record of a task; ok is false if there is none.
-func (f *fakeTable) task(t *testing.T, id api.TaskID) (record api.Task, ok bool) {
+// setUnit writes the row of the coordinator unit; a row with a value names another owner.
+func (h *harness) setUnit(t *testing.T, version uint64, value string) {
 	t.Helper()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	row, ok := f.rows[taskKey(id)]
-	if !ok {
-		return api.Task{}, false
+	key := api.Coordinator.Key()
+	txn := platform.Txn{
+		OpID: key + value, Conditions: []platform.Condition{{Key: key, Version: version}},
+		Writes: []platform.Write{{Key: key, Value: []byte(value)}},
 	}
-	record, err := decodeTask(row.Value)
-	if err != nil {
+	if _, err := h.table.Commit(t.Context(), txn); err != nil {
 		t.Fatal(err)
 	}
-	return record, true
 }
 
 // harness runs a Coordinator over a fake table; it stands for the cluster and for the owner of the only rack.
 type harness struct {
 	*Coordinator
 	loop  *control.Loop
-	table *fakeTable
+	table *tabletest.Table
 
 	mu      sync.Mutex
 	work    *api.WorkSet
@@ -140,8 +90,8 @@
 
 func newHarness(t *testing.T) *harness {
 	clock := clockwork.NewRealClock()
-	h := &harness{loop: control.NewLoop(clock), table: newFakeTable(), owned: true}
-	h.table.rows[api.Coordinator.Key()] = platform.Row{Key: api.Coordinator.Key(), Version: 1}
+	h := &harness{loop: control.NewLoop(clock), table: tabletest.New(), owned: true}
+	h.setUnit(t, 0, "")
 	h.setReplicas(1)
 	if err := h.loop.Start(t.Context()); err != nil {
 		t.Fatal(err)
--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -53,8 +53,8 @@
 
 func (f *fleet) tableCalls() (reads, writes int64) {
 	for _, n := range f.nodes {
-		reads += n.table.reads.Load()
-		writes += n.table.writes.Load()
+		reads += n.table.Reads.Load()
+		writes += n.table.Writes.Load()
 	}
 	return reads, writes
 }
@@ -113,7 +113,7 @@
 			f.site.Worker(id).SetLeaving(true)
 		},
 		"the directory of another instance only": func(f *fleet, id api.WorkerID) {
-			f.nodes[kingston].directory.leaving.Store(string(id))
+			f.nodes[kingston].directory.SetLeaving(id)
 		},
 	}
 	for name, announce := range sources {
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -54,8 +54,8 @@
 type node struct {
 	*Instance
 	self      api.Instance
-	table     *switchTable
-	directory *switchDirectory
+	table     *standin.ReaderTable
+	directory *standin.ReaderDirectory
 	conn      *peer.FilterConn
 	done      bool
 }
@@ -99,9 +99,8 @@
 	f.t.Helper()
 	conn, err := peer.ListenFiltered("127.0.0.1:0")
 	must(f.t, err)
-	n := &node{conn: conn, table: newSwitchTable(f.site.Platform.Table())}
-	n.directory = &switchDirectory{directory: f.site.Platform.Directory()}
-	n.directory.leaving.Store("")
+	n := &node{conn: conn, table: standin.NewReaderTable(f.site.Platform.Table())}
+	n.directory = standin.NewReaderDirectory(f.site.Platform.Directory())
 	n.self = api.Instance{ID: api.InstanceID(id), Addr: conn.LocalAddr().String(), Location: location}
 	f.nodes = append(f.nodes, n)
 	f.site.Platform.Directory().PutInstance(n.self)
@@ -175,18 +174,18 @@
 func (f *fleet) cutRegion() {
 	f.cut(f.nodes[montego], f.nodes[kingston])
 	f.cut(f.nodes[savanna], f.nodes[kingston])
-	f.nodes[kingston].table.down.Store(true)
+	f.nodes[kingston].table.Down.Store(true)
 }
 
 func (f *fleet) restoreRegion() {
 	f.restore(f.nodes[montego], f.nodes[kingston])
 	f.restore(f.nodes[savanna], f.nodes[kingston])
-	f.nodes[kingston].table.down.Store(false)
+	f.nodes[kingston].table.Down.Store(false)
 }
 
 func (f *fleet) storeDown(down bool) {
 	for _, n := range f.nodes {
-		n.table.down.Store(down)
+		n.table.Down.Store(down)
 	}
 }
 
--- a/instance/store_test.go
+++ b/instance/store_test.go
@@ -22,7 +22,7 @@
 	downAt := time.Now()
 	f.storeDown(true)
 	late := f.add("montego-2", testLocations[montego])
-	late.table.down.Store(true)
+	late.table.Down.Store(true)
 	f.start(late)
 	f.during(storeDownSpan, "instances stay ready, units keep their owners, leases are renewed", func() bool {
 		return f.nodes[montego].Ready() == nil && f.nodes[savanna].Ready() == nil && f.nodes[kingston].Ready() == nil &&
@@ -85,7 +85,7 @@
 	cutAt := time.Now()
 	f.cut(alone, f.nodes[montego])
 	f.cut(alone, f.nodes[kingston])
-	alone.table.down.Store(true)
+	alone.table.Down.Store(true)
 	took := f.within(testHold+testMargin, "the isolated instance takes no new work", func() bool { return alone.Ready() != nil })
 	t.Logf("refuses new work after %v", took)
 	f.during(6*time.Second, "an isolated instance refuses as not-run", func() bool {
@@ -96,7 +96,7 @@
 	})
 	f.restore(alone, f.nodes[montego])
 	f.restore(alone, f.nodes[kingston])
-	alone.table.down.Store(false)
+	alone.table.Down.Store(false)
 	f.within(readyWithin, "all is one fleet again", func() bool { return f.allReady() && f.allLive() })
 	f.within(readyWithin, "all replicas run again", func() bool { return f.runningOf("shop") == 6 })
 	l.end()
--- a/session/golden_test.go
+++ b/session/golden_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -78,6 +79,10 @@
 	if err := os.CopyFS(first, os.DirFS("../examples/first")); err != nil {
 		t.Fatal(err)
 	}
+	// A trial of the example leaves base versions of its fleet behind; the session begins without.
+	if err := os.RemoveAll(filepath.Join(first, ".bronzehook-base.json")); err != nil {
+		t.Fatal(err)
+	}
 	montego, savanna, kingston := f.instances[0], f.instances[1], f.instances[2]
 
 	s.ctl(montego, "ann", first, "apply", "--wait")
--- a/session/process_test.go
+++ b/session/process_test.go
@@ -145,6 +145,8 @@
 	p.cmd.Stderr = log
 	p.cmd.Stdout = log
 	p.cmd.Env = cleanEnvironment()
+	// Without it, instances outlive a test process that is killed from outside.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
