--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,7 +5,7 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/http"
+
 	"sync/atomic"
 	"time"
 
@@ -273,38 +273,3 @@
 	i.log.Info().Msg("stop done")
 	return err
 }
-
-// httpService is an HTTP server with the life cycle of a service.
-type httpService struct {
-	name     string
-	addr     string
-	server   *http.Server
-	requires []string
-	listener net.Listener
-}
-
-// Name implements kernel.Service.
-func (s *httpService) Name() string { return s.name }
-
-// Requires implements kernel.Service.
-func (s *httpService) Requires() []string { return s.requires }
-
-// Start listens and serves.
-func (s *httpService) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.addr)
-	if err != nil {
-		return errors.Wrapf(err, "listen for %s", s.name)
-	}
-	s.listener = listener
-	serving := listener
-	if s.server.TLSConfig != nil {
-		serving = tls.NewListener(listener, s.server.TLSConfig)
-	}
-	go func() { _ = s.server.Serve(serving) }()
-	return nil
-}
-
-// Stop finishes requests in flight.
-func (s *httpService) Stop(ctx context.Context) error {
-	return errors.Wrapf(s.server.Shutdown(ctx), "stop serving %s", s.name)
-}
