--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -220,5 +220,5 @@
 		event.Time = i.options.Clock.Now()
 	}
 	event.Instance = i.options.Self.ID
-	i.trail.Record(event)
+	i.events.emit(event)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -88,6 +88,7 @@
 	rollout     *rollout.Service
 	drains      *drain.Service
 	trail       *audit.Trail
+	events      *eventSource
 	runner      *runner.Runner
 	coordinator *coordinator.Coordinator
 	ledger      *dedup.Service
@@ -127,7 +128,7 @@
 	i.buildOperators()
 	i.registerMessages()
 	i.registerMetrics()
-	i.kernel.Register(i.loop, i.transport, i.members, i.owners, i.rollout, i.drains, i.trail, i.runner, i.coordinator,
+	i.kernel.Register(i.loop, i.transport, i.members, i.owners, i.rollout, i.drains, i.trail, i.events, i.runner, i.coordinator,
 		i.callers, i.operators, &viewService{Instance: i})
 	return i
 }
@@ -169,6 +170,7 @@
 	i.trail = audit.New(audit.Options{
 		Self: o.Self.ID, Table: i.store, Bus: i.kernel.Bus(), Clock: o.Clock, Logger: i.log,
 	})
+	i.events = newEventSource(i.kernel.Bus(), i.trail)
 }
 
 func (i *Instance) buildWork() {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -216,9 +216,6 @@
 
 // Guards against heartbeats that outgrow 200 bytes at 9 instances, and steady control traffic above 3 KB/s.
 func TestHeartbeatTraffic(t *testing.T) {
-	if testing.Short() {
-		t.Skip("measures ten seconds of traffic")
-	}
 	const instances, warmUp, window, limit = 9, 3 * time.Second, 10 * time.Second, 3000
 	dev, err := peer.NewDevAuthority()
 	if err != nil {
--- a/ownership/takeover_test.go
+++ b/ownership/takeover_test.go
@@ -64,9 +64,6 @@
 // Guards against parts that work with fakes and not together, and against a takeover before authority has ended or much
 // later than the page says.
 func TestTakeoverFromAnInstanceThatIsCutOff(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes about 15 s")
-	}
 	dev, err := peer.NewDevAuthority()
 	if err != nil {
 		t.Fatal(err)
