--- a/instance/instance.go
+++ b/instance/instance.go
@@ -73,6 +73,10 @@
 // balancerDelay is how long a stopping instance stays reachable after its readiness fell, so that the balancer notices.
 const balancerDelay = time.Second
 
+// handOverTime is the part of the stop time-out that requests in flight leave to the hand-over of units. Without it, a
+// request that outlasts the time-out would leave the units to the lapse of this instance.
+const handOverTime = 5 * time.Second
+
 // Instance is one process of the system.
 type Instance struct {
 	options  Options
@@ -193,7 +197,7 @@
 	i.admission = admission.NewController(o.Clock, admission.DefaultConfig(), 1, api.Floors{})
 	i.quotas = admission.NewQuotas()
 	config := gateway.DefaultConfig()
-	config.DrainTimeout = o.StopTimeout
+	config.DrainTimeout = o.StopTimeout - min(handOverTime, o.StopTimeout/2)
 	config.Seed = i.session
 	i.gateway = gateway.New(config, gateway.Parts{
 		Self: o.Self, Clock: o.Clock, Log: i.log, Authenticator: authenticatorOf(o),
