Answer connections that wait when an instance stops listening

Two places drop such requests: a plain close of the listener resets connections that were opened and not accepted, and net/http closes a connection without an answer if it reads a request after Shutdown has begun.

Ruled out: a request in flight; its caller had opened the connection within the last milliseconds.

Conclusion: what remains is the moment between the last look at the queue and the close.

--- /dev/null
+++ b/instance/backlog_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package instance
+
+import "net"
+
+// closeListener closes a listener. Connections that were not accepted yet are reset.
+func closeListener(listener net.Listener) ([]net.Conn, error) { return nil, listener.Close() }
--- a/instance/httpservice.go
+++ b/instance/httpservice.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,11 +45,7 @@
 	}
 	s.listener = listener
 	s.server.ConnState = s.count
-	serving := listener
-	if s.server.TLSConfig != nil {
-		serving = tls.NewListener(listener, s.server.TLSConfig)
-	}
-	go func() { _ = s.server.Serve(serving) }()
+	go func() { _ = s.server.Serve(s.secured(listener)) }()
 	return nil
 }
 
@@ -76,8 +73,72 @@
 	}
 }
 
-// Stop finishes requests in flight.
+// Stop finishes requests in flight. Shutdown comes last, because once it has begun net/http drops requests that it reads
+// and closes their connections without an answer.
 func (s *httpService) Stop(ctx context.Context) error {
+	waiting, err := closeListener(s.listener)
+	if len(waiting) > 0 {
+		last := newConnListener(waiting, s.listener.Addr())
+		go func() { _ = s.server.Serve(s.secured(last)) }()
+		last.awaitTaken(ctx)
+	}
 	s.awaitClosed(ctx)
-	return errors.Wrapf(s.server.Shutdown(ctx), "stop serving %s", s.name)
+	err = errors.CombineErrors(err, s.server.Shutdown(ctx))
+	return errors.Wrapf(err, "stop serving %s", s.name)
+}
+
+// secured adds TLS where it is configured.
+func (s *httpService) secured(listener net.Listener) net.Listener {
+	if s.server.TLSConfig == nil {
+		return listener
+	}
+	return tls.NewListener(listener, s.server.TLSConfig)
+}
+
+// connListener hands out connections that were accepted before, and then waits until it is closed.
+type connListener struct {
+	conns  chan net.Conn
+	addr   net.Addr
+	taken  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newConnListener(conns []net.Conn, addr net.Addr) *connListener {
+	l := &connListener{
+		conns: make(chan net.Conn, len(conns)), addr: addr, taken: make(chan struct{}), closed: make(chan struct{}),
+	}
+	for _, conn := range conns {
+		l.conns <- conn
+	}
+	close(l.conns)
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *connListener) Accept() (net.Conn, error) {
+	if conn, ok := <-l.conns; ok {
+		return conn, nil
+	}
+	// The server asks again only after it has begun to serve the last connection.
+	close(l.taken)
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+// Close implements net.Listener.
+func (l *connListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *connListener) Addr() net.Addr { return l.addr }
+
+// awaitTaken waits until the server has taken all connections.
+func (l *connListener) awaitTaken(ctx context.Context) {
+	select {
+	case <-l.taken:
+	case <-ctx.Done():
+	}
 }
