Compute statements of work once a revision; name the rack of a worker once

Cause: each decision, up to five a second, hashed the statement of every service and watcher anew, though statements change with the configuration only; the unit of a worker's rack was spelled out in seven places.

Ruled out: keeping the hash in api.Spec; it would travel in messages.

Change: reconcile keeps the statements of the revision; api.Worker.RackUnit. No behaviour, bound or check changes.

Before/after: coordinator, runner, ownership and invariant tests green with the race detector before and after; the saving was not measured.

Conclusion: work that depends on the revision is done where the revision is taken over.

--- a/api/place.go
+++ b/api/place.go
@@ -36,6 +36,9 @@
 	Leaving     bool `json:"leaving,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
+// RackUnit returns the unit of the worker's rack.
+func (w *Worker) RackUnit() Unit { return RackUnit(w.Location.DataCentre, w.Location.Rack) }
+
 // Epoch is the fencing token of a unit. It grows by one with every change of owner.
 type Epoch uint64
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -127,7 +127,9 @@
 	byUnit map[api.Unit]map[api.TaskID]*task
 	// revision is the configuration revision that the tasks were last reconciled with.
 	revision uint64
-	workers  map[api.WorkerID]runner.WorkerReport
+	// statements holds the statement of each service and watcher at that revision.
+	statements map[string]uint64
+	workers    map[api.WorkerID]runner.WorkerReport
 	// outbox holds orders that wait for the next send, by instance.
 	outbox  map[api.InstanceID]*runner.Orders
 	sending map[api.InstanceID]bool
--- a/coordinator/decide.go
+++ b/coordinator/decide.go
@@ -95,8 +95,8 @@
 const settleTime = 3 * time.Second
 
 // settle reports whether every listed worker whose rack may report has been reported as reachable, or the time for that is
-// over.
-// Racks of an instance that is not heard are not waited for, because urgent work has to start within 8.7 s after its death.
+// over. Racks of an instance that is not heard are not waited for, because urgent work has to start within 8.7 s after its
+// death.
 func (c *Coordinator) settle(t *term) bool {
 	if t.settled {
 		return true
@@ -106,7 +106,7 @@
 		for _, w := range workers {
 			// The first report of a rack may come before its workers have answered a fence, and also before the claim of
 			// the rack was read here; both keep its workers out of the view.
-			unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
+			unit := w.RackUnit()
 			_, owned := c.options.Cluster.Claim(unit)
 			if (!owned || !t.workers[w.ID].Reachable) && c.options.Cluster.ReportExpected(unit) {
 				return false
@@ -180,7 +180,7 @@
 	view := View{Now: c.options.Clock.Now(), Work: work, Workers: t.workerViews[:0], Tasks: t.taskViews[:0]}
 	workers, drained := c.options.Cluster.Workers()
 	for _, w := range workers {
-		unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
+		unit := w.RackUnit()
 		claim, owned := c.options.Cluster.Claim(unit)
 		report, reported := t.workers[w.ID]
 		usable := owned && reported && report.Reachable && !report.Leaving && !w.Leaving && !drained[w.ID]
@@ -188,14 +188,8 @@
 			Worker: w, Unit: unit, Epoch: claim.Epoch, Usable: usable, Drained: w.Leaving || report.Leaving || drained[w.ID],
 		})
 	}
-	statements := make(map[string]uint64, len(work.Specs))
-	for name, spec := range work.Specs {
-		if spec.Kind != api.KindJob {
-			statements[name] = spec.Statement()
-		}
-	}
 	for _, known := range t.tasks {
-		statement, restarts := statements[known.row.Work]
+		statement, restarts := t.statements[known.row.Work]
 		view.Tasks = append(view.Tasks, TaskView{
 			Task: known.latest(), Kind: work.Specs[known.row.Work].Kind, Seen: known.seen.State, Started: known.startedAt,
 			Progress: known.seen.Progress, Throttle: known.throttle, Busy: !known.idle() || known.stopping,
--- a/coordinator/reconcile.go
+++ b/coordinator/reconcile.go
@@ -11,7 +11,11 @@
 // those that are no longer wanted.
 func (c *Coordinator) reconcile(t *term, work *api.WorkSet) {
 	wanted := map[api.TaskID]bool{}
+	t.statements = make(map[string]uint64, len(work.Specs))
 	for _, spec := range work.Specs {
+		if spec.Kind != api.KindJob {
+			t.statements[spec.Name] = spec.Statement()
+		}
 		for index := range spec.Replicas {
 			id := api.NewTaskID(spec.Name, index)
 			wanted[id] = true
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -100,7 +100,7 @@
 func (i *Instance) tellOwners(workers []api.Worker) {
 	units := i.owners.View().Units
 	due := i.leaving.due(workers, func(w api.Worker) api.InstanceID {
-		owner := units[api.RackUnit(w.Location.DataCentre, w.Location.Rack)].Instance
+		owner := units[w.RackUnit()].Instance
 		if owner == i.options.Self.ID {
 			return ""
 		}
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -142,7 +142,7 @@
 	if len(runs) == 0 {
 		return nil
 	}
-	owner, err := Owner(ctx, table, api.RackUnit(w.Location.DataCentre, w.Location.Rack))
+	owner, err := Owner(ctx, table, w.RackUnit())
 	if err != nil {
 		return err
 	}
--- a/ownership/row.go
+++ b/ownership/row.go
@@ -54,7 +54,7 @@
 	places := []Place{{Unit: api.Coordinator}}
 	racks := map[api.Unit]bool{}
 	for _, w := range view.Workers {
-		unit := api.RackUnit(w.Location.DataCentre, w.Location.Rack)
+		unit := w.RackUnit()
 		if !racks[unit] {
 			racks[unit] = true
 			places = append(places, Place{Unit: unit, Location: w.Location})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -154,7 +154,7 @@
 	r.drained = drained
 	for _, w := range workers {
 		r.workers[w.ID] = w
-		rack := r.racks[api.RackUnit(w.Location.DataCentre, w.Location.Rack)]
+		rack := r.racks[w.RackUnit()]
 		if rack == nil {
 			continue
 		}
@@ -176,7 +176,7 @@
 	}
 	r.racks[unit] = owned
 	for _, w := range r.workers {
-		if api.RackUnit(w.Location.DataCentre, w.Location.Rack) == unit {
+		if w.RackUnit() == unit {
 			r.addWorker(owned, w)
 		}
 	}
