--- a/admission/core.go
+++ b/admission/core.go
@@ -70,14 +70,28 @@
 	Urgency  api.Urgency
 	Service  string
 	Deadline time.Time
+	// Settled, if set, is called once with the decision on a ticket that waited; nil is a grant. It must not call the core.
+	Settled func(*RefusalError)
 
 	state   ticketState
 	arrived time.Time
 	granted time.Time
-	// settled receives the decision on a ticket that waited; nil is a grant.
+	// settled receives the decision on a ticket that waited and has no Settled; nil is a grant.
 	settled chan *RefusalError
 }
 
+// settle tells the owner of a ticket that waited of the decision.
+func (t *Ticket) settle(refusal *RefusalError) {
+	if t.Settled != nil {
+		t.Settled(refusal)
+		return
+	}
+	t.settled <- refusal
+}
+
+// Granted reports whether the ticket holds a slot.
+func (t *Ticket) Granted() bool { return t.state == stateGranted }
+
 // Core is the state of admission without locks and without a clock. Its share of slots is given out as follows: a free
 // slot goes to the most urgent waiting request, unless a waiting urgency is owed part of its floor. Each urgency
 // accrues its floor's share of the service time given out; the account is capped at the floor's own number of slots, so
@@ -113,7 +127,9 @@
 		return refusal
 	}
 	t.state = stateWaiting
-	t.settled = make(chan *RefusalError, 1)
+	if t.Settled == nil {
+		t.settled = make(chan *RefusalError, 1)
+	}
 	c.queues[t.Urgency].push(t)
 	return nil
 }
@@ -196,11 +212,11 @@
 		}
 		t := c.queues[u].pop()
 		if refusal := c.stale(now, t); refusal != nil {
-			t.settled <- refusal
+			t.settle(refusal)
 			continue
 		}
 		c.grant(now, t)
-		t.settled <- nil
+		t.settle(nil)
 	}
 }
 
--- a/replay/fleet.go
+++ b/replay/fleet.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"math"
 	"time"
 
 	"bronzehook/api"
@@ -59,6 +58,7 @@
 	used     api.Resources
 	load     float64
 	reports  []report
+	requests *requestModel
 }
 
 // report is a usage report on its way.
@@ -136,37 +136,5 @@
 	return a.work.truth.Pressure[dimension] * a.share
 }
 
-// latencyModel gives the latency of requests on a worker in terms of their execution time.
-type latencyModel struct {
-	// wait is the mean time in the queue over the execution time.
-	wait float64
-	// full is the wait in overload over the execution time, bounded by the connections; 0 without overload.
-	full float64
-	// overload is the offered over the possible load where everything is taken, at least 1.
-	overload float64
-}
-
-// maxUtilization bounds the queueing formula, which has no end at full load.
-const maxUtilization = 0.97
-
-// newLatencyModel follows the usual approximation for a queue with several servers.
-func newLatencyModel(slots, admitted float64) latencyModel {
-	utilization := admitted / slots
-	m := latencyModel{overload: max(1, utilization)}
-	if utilization > 1 {
-		m.full = (connectionsPerWorker - slots) / slots
-		return m
-	}
-	utilization = min(utilization, maxUtilization)
-	m.wait = math.Pow(utilization, math.Sqrt(2*(slots+1))-1) / (slots * (1 - utilization))
-	return m
-}
-
-// latency returns the latency at a quantile, given as the negative logarithm of the part of requests that take longer.
-// Execution times are spread by a fifth, waiting times as exponential ones.
-func (m latencyModel) latency(serviceMillis, tail float64) float64 {
-	return serviceMillis * (0.8 + 0.2*tail + m.wait*tail + m.full)
-}
-
 // seconds returns a number of steps as a duration.
 func seconds(n int) time.Duration { return time.Duration(n) * step }
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -12,18 +12,18 @@
 type Policy struct {
 	Name     string
 	Options  scheduler.Options
-	Admitter Admitter
+	Admitter NewAdmitter
 }
 
 // Decision returns the policy of the system.
 func Decision() Policy {
-	return Policy{Name: "decision", Options: scheduler.DefaultOptions(), Admitter: FloorKeeper{Floors: DefaultFloors()}}
+	return Policy{Name: "decision", Options: scheduler.DefaultOptions(), Admitter: NewCoreAdmitter}
 }
 
 // Baseline returns first fit in order of arrival, with declared sizes, no reserve and no prediction. It displaces less
 // urgent work at once, without a checkpoint; in the recorded traces all of its evictions come from that. It would also
-// evict at once where services suffer, but first fit keeps services and jobs on different workers. Requests are taken
-// as they come.
+// evict at once where services suffer, but first fit keeps services and jobs on different workers. Requests run in order
+// of arrival.
 func Baseline() Policy {
 	o := scheduler.DefaultOptions()
 	o.Queue.ByUrgency, o.Queue.BySlack, o.Queue.BackOff = false, false, false
@@ -36,57 +36,14 @@
 	o.Quarantine.Workers, o.Quarantine.Works = false, false
 	const noBound = 1 << 30
 	o.Quarantine.MaxTries = noBound
-	return Policy{Name: "baseline", Options: o, Admitter: TakeAll{}}
+	return Policy{Name: "baseline", Options: o, Admitter: NewFIFOAdmitter}
 }
 
-// Admitter shares the request capacity of a worker over the urgencies. Loads are in slots: requests per second times
-// execution time.
-type Admitter interface {
-	// Admit returns the admitted part of the offered load of each urgency on a worker with the given slots.
-	Admit(slots float64, offered [api.UrgencyCount]float64) [api.UrgencyCount]float64
-}
-
-// TakeAll admits everything that is offered; beyond the slots each urgency is answered in proportion to its load.
-type TakeAll struct{}
-
-// Admit implements Admitter.
-func (TakeAll) Admit(_ float64, offered [api.UrgencyCount]float64) [api.UrgencyCount]float64 {
-	return offered
-}
-
-// FloorKeeper admits up to a share of the slots that keeps queues short. Each urgency keeps its floor; what is left is
-// lent in order of urgency.
-type FloorKeeper struct {
-	// Floors is the share of the usable slots that each urgency keeps, in percent.
-	Floors api.Floors
-}
-
-// usableShare is the share of a worker's slots up to which the queue in front of them stays short.
-const usableShare = 0.8
-
 // DefaultFloors returns the floors of the replayed sites.
 func DefaultFloors() api.Floors {
 	return api.Floors{api.Low: 10, api.Normal: 20, api.High: 30, api.Critical: 30}
 }
 
-// Admit implements Admitter.
-func (f FloorKeeper) Admit(slots float64, offered [api.UrgencyCount]float64) [api.UrgencyCount]float64 {
-	const percent = 100
-	usable := slots * usableShare
-	var admitted [api.UrgencyCount]float64
-	left := usable
-	for u := range offered {
-		admitted[u] = min(offered[u], usable*f.Floors[u]/percent)
-		left -= admitted[u]
-	}
-	for u := api.UrgencyCount - 1; u >= 0; u-- {
-		lent := min(left, offered[u]-admitted[u])
-		admitted[u] += lent
-		left -= lent
-	}
-	return admitted
-}
-
 // The times of the model.
 const (
 	step = time.Second
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -64,7 +64,6 @@
 	offered, answered    float64
 	urgentOffered        float64
 	urgentAnswered       float64
-	floors               [api.UrgencyCount]floorSum
 	batchSeconds         float64
 	lostSeconds          float64
 	evictions, throttles int
@@ -75,9 +74,6 @@
 	reported             map[string]bool
 }
 
-// floorSum compares what an urgency was given with what its floor promises, during the flood.
-type floorSum struct{ given, promised float64 }
-
 // The histogram counts latencies in microseconds.
 const (
 	maxLatencyMicros = 60_000_000
@@ -99,8 +95,8 @@
 			reported: map[string]bool{},
 		},
 	}
-	for _, w := range site.workers() {
-		state := &worker{Worker: w}
+	for i, w := range site.workers() {
+		state := &worker{Worker: w, requests: newRequestModel(policy.Admitter, seed, uint64(i))}
 		r.workers = append(r.workers, state)
 		r.byID[w.ID] = state
 	}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -1,7 +1,8 @@
 // Package replay runs recorded traces in virtual time against the decisions about tasks and against a baseline (first fit
 // in order of arrival, declared sizes, no reserve, no prediction), and compares tail latency, batch throughput, deadline
-// misses, evictions and what urgent work keeps in a flood. It holds a simple model of run time under interference and of
-// request latency against load. It is no cluster simulator: there are no messages and no faults of instances.
+// misses, evictions and what urgent work keeps in a flood. It holds a simple model of run time under interference and
+// runs requests one by one through package admission, or first in, first out for the baseline, on each worker's slots.
+// It is no cluster simulator: there are no messages and no faults of instances.
 package replay
 
 import (
