--- a/audit/trail.go
+++ b/audit/trail.go
@@ -10,9 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/kernel"
-	"bronzehook/platform"
 )
 
 // ServiceName is the service's name in the kernel.
@@ -39,7 +39,7 @@
 // Options are the parts that a Trail is built from. Zero numbers and durations get defaults.
 type Options struct {
 	Self   api.InstanceID
-	Table  platform.Table
+	Table  backend.Table
 	Bus    *kernel.Bus
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
--- a/audit/writer.go
+++ b/audit/writer.go
@@ -10,8 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 const keyPrefix = "audit/"
@@ -109,10 +109,10 @@
 		return false, errors.Wrap(err, "encode audit batch")
 	}
 	key := w.key(w.next)
-	txn := platform.Txn{OpID: w.opID(), Conditions: []platform.Condition{{Key: key}}, Writes: []platform.Write{{Key: key, Value: value}}}
+	txn := backend.Txn{OpID: w.opID(), Conditions: []backend.Condition{{Key: key}}, Writes: []backend.Write{{Key: key, Value: value}}}
 	surplus := max(0, len(w.rows)+1-w.options.KeepRows)
 	for _, sequence := range w.rows[:surplus] {
-		txn.Writes = append(txn.Writes, platform.Write{Key: w.key(sequence), Delete: true})
+		txn.Writes = append(txn.Writes, backend.Write{Key: w.key(sequence), Delete: true})
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, w.options.Clock, w.options.TableTimeout)
 	defer cancel()
--- a/platform/platform.go
+++ b/backend/backend.go
@@ -1,11 +1,11 @@
-// Package platform declares the narrow interfaces through which the system sees the platform: a transactional table,
+// Package backend declares the narrow interfaces through which the system sees the platform: a transactional table,
 // an object store, a lagging directory of instances and workers, and the workers themselves. A change of the
 // platform's dialect changes an adapter and no decision.
 //
 // Failures carry the codes of package fault: CodeStoreUnavailable when a store is down, too slow or its reply was lost
 // (a write may have taken effect), CodeConflict when a condition did not hold, CodeNotFound, CodeStaleEpoch,
 // CodeStaleAttempt, CodeExpired, CodeNoCapacity, CodeUnreachable.
-package platform
+package backend
 
 import (
 	"context"
--- a/platform/httpplatform/call_test.go
+++ b/backend/httpbackend/call_test.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbackend
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"github.com/cockroachdb/errors"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 const (
@@ -114,7 +114,7 @@
 			if name == "no answer" || name == "no end of the answer" {
 				timeout = shortTimeout
 			}
-			_, err := New(server.URL, nil, timeout).Table().Commit(context.Background(), platform.Txn{OpID: "a"})
+			_, err := New(server.URL, nil, timeout).Table().Commit(context.Background(), backend.Txn{OpID: "a"})
 			wantCode(t, err, c.store)
 			_, err = NewWorkers(nil, timeout).Worker(api.Worker{Addr: server.URL}).Fence(context.Background(), 1)
 			wantCode(t, err, c.worker)
@@ -149,7 +149,7 @@
 	defer server.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
 	defer cancel()
-	_, err = New(server.URL, nil, testTimeout).Table().Commit(ctx, platform.Txn{OpID: "a"})
+	_, err = New(server.URL, nil, testTimeout).Table().Commit(ctx, backend.Txn{OpID: "a"})
 	wantCode(t, err, fault.CodeStoreUnavailable)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("failure %v hides the end of the context", err)
--- a/platform/httpplatform/client.go
+++ b/backend/httpbackend/client.go
@@ -1,8 +1,8 @@
-// Package httpplatform implements the interfaces of package platform over HTTP/1.1. Every call is bounded in time and
+// Package httpbackend implements the interfaces of package platform over HTTP/1.1. Every call is bounded in time and
 // size, and an answer counts only if it arrived whole and names the request that it answers. A call to the store
 // without such an answer, or with a 5xx status, fails with CodeStoreUnavailable and may have taken effect; the caller
 // repeats a Commit with the same OpID.
-package httpplatform
+package httpbackend
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Client reaches the platform's table, object store and directory.
@@ -30,13 +30,13 @@
 }
 
 // Table returns the platform's table.
-func (c *Client) Table() platform.Table { return (*table)(c) }
+func (c *Client) Table() backend.Table { return (*table)(c) }
 
 // Objects returns the platform's object store.
-func (c *Client) Objects() platform.Objects { return (*objects)(c) }
+func (c *Client) Objects() backend.Objects { return (*objects)(c) }
 
 // Directory returns the platform's directory.
-func (c *Client) Directory() platform.Directory { return &directory{client: c} }
+func (c *Client) Directory() backend.Directory { return &directory{client: c} }
 
 func withScheme(address string) string {
 	if !strings.Contains(address, "://") {
@@ -51,35 +51,35 @@
 
 type table Client
 
-// Get implements platform.Table. An absent row is a failure with CodeNotFound.
-func (t *table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table. An absent row is a failure with CodeNotFound.
+func (t *table) Get(ctx context.Context, key string) (backend.Row, error) {
 	k := call{op: "table get", method: http.MethodGet, url: t.base + PathTableRow + query(ParamKey, key)}
-	var row platform.Row
+	var row backend.Row
 	if err := t.caller.exchange(ctx, k, nil, &row); err != nil {
-		return platform.Row{Key: key}, err
+		return backend.Row{Key: key}, err
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (t *table) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	k := call{op: "table list", method: http.MethodGet, url: t.base + PathTableRows + query(ParamPrefix, prefix)}
-	var rows []platform.Row
+	var rows []backend.Row
 	err := t.caller.exchange(ctx, k, nil, &rows)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t *table) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	k := call{op: "table commit", method: http.MethodPost, url: t.base + PathTableCommit}
-	var result platform.CommitResult
+	var result backend.CommitResult
 	err := t.caller.exchange(ctx, k, txn, &result)
 	return result, err
 }
 
 type objects Client
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o *objects) Put(ctx context.Context, name string, data []byte) error {
 	k := o.call("object put", http.MethodPut, name)
 	if len(data) > MaxObjectBytes {
@@ -90,13 +90,13 @@
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements backend.Objects.
 func (o *objects) Get(ctx context.Context, name string) ([]byte, error) {
 	got, err := o.caller.do(ctx, o.call("object get", http.MethodGet, name))
 	return got.body, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements backend.Objects.
 func (o *objects) Delete(ctx context.Context, name string) error {
 	_, err := o.caller.do(ctx, o.call("object delete", http.MethodDelete, name))
 	return err
@@ -113,11 +113,11 @@
 
 	mu      sync.Mutex
 	tag     string
-	entries []platform.Entry
+	entries []backend.Entry
 }
 
-// List implements platform.Directory.
-func (d *directory) List(ctx context.Context) ([]platform.Entry, error) {
+// List implements backend.Directory.
+func (d *directory) List(ctx context.Context) ([]backend.Entry, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := call{
@@ -130,7 +130,7 @@
 	if got.notModified {
 		return slices.Clone(d.entries), nil
 	}
-	var entries []platform.Entry
+	var entries []backend.Entry
 	if err := decodeAnswer(k, d.client.caller.party, got.body, &entries); err != nil {
 		return nil, err
 	}
--- a/platform/httpplatform/directory_test.go
+++ b/backend/httpbackend/directory_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpbackend_test
 
 import (
 	"net/http"
@@ -9,8 +9,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 )
 
 // Guards against a directory that is sent whole at every reading, and against a change that the reader does not see.
@@ -29,7 +29,7 @@
 		_, _ = w.Write(recorder.Body.Bytes())
 	}))
 	defer server.Close()
-	directory := httpplatform.New(server.URL, nil, 0).Directory()
+	directory := httpbackend.New(server.URL, nil, 0).Directory()
 	read := func(want int) {
 		t.Helper()
 		entries, err := directory.List(t.Context())
--- a/platform/httpplatform/errors.go
+++ b/backend/httpbackend/errors.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbackend
 
 import (
 	"fmt"
--- a/platform/httpplatform/wire.go
+++ b/backend/httpbackend/wire.go
@@ -1,11 +1,11 @@
-package httpplatform
+package httpbackend
 
 import (
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Paths of the platform's HTTP interface. The table takes the key in the parameter ParamKey and the prefix in
@@ -58,15 +58,15 @@
 
 // RenewOrder is the body of a lease renewal.
 type RenewOrder struct {
-	Epoch    api.Epoch          `json:"epoch"`
-	Tasks    []platform.TaskRef `json:"tasks"`
-	LeaseEnd time.Duration      `json:"leaseEnd"`
+	Epoch    api.Epoch         `json:"epoch"`
+	Tasks    []backend.TaskRef `json:"tasks"`
+	LeaseEnd time.Duration     `json:"leaseEnd"`
 }
 
 // ThrottleOrder is the body of a throttle call.
 type ThrottleOrder struct {
-	Ref   platform.TaskRef `json:"ref"`
-	Share float64          `json:"share"`
+	Ref   backend.TaskRef `json:"ref"`
+	Share float64         `json:"share"`
 }
 
 // CheckpointAnswer is the answer to a checkpoint call.
--- a/platform/httpplatform/workers.go
+++ b/backend/httpbackend/workers.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbackend
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"time"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
 // Workers reaches the control interfaces of workers over shared connections.
@@ -20,8 +20,8 @@
 	return &Workers{caller: newCaller(client, timeout, workerParty)}
 }
 
-// Worker implements platform.Workers.
-func (w *Workers) Worker(described api.Worker) platform.Worker {
+// Worker implements backend.Workers.
+func (w *Workers) Worker(described api.Worker) backend.Worker {
 	return &worker{base: withScheme(described.Addr), caller: &w.caller}
 }
 
@@ -38,58 +38,58 @@
 	return w.caller.exchange(ctx, call{op: op, method: http.MethodPost, url: w.base + path}, in, out)
 }
 
-// Fence implements platform.Worker.
-func (w *worker) Fence(ctx context.Context, epoch api.Epoch) (platform.Inventory, error) {
-	var inventory platform.Inventory
+// Fence implements backend.Worker.
+func (w *worker) Fence(ctx context.Context, epoch api.Epoch) (backend.Inventory, error) {
+	var inventory backend.Inventory
 	err := w.order(ctx, "worker fence", PathFence, FenceOrder{Epoch: epoch}, &inventory)
 	return inventory, err
 }
 
-// Inventory implements platform.Worker.
-func (w *worker) Inventory(ctx context.Context) (platform.Inventory, error) {
-	var inventory platform.Inventory
+// Inventory implements backend.Worker.
+func (w *worker) Inventory(ctx context.Context) (backend.Inventory, error) {
+	var inventory backend.Inventory
 	err := w.get(ctx, "worker inventory", PathInventory, &inventory)
 	return inventory, err
 }
 
-// Start implements platform.Worker.
-func (w *worker) Start(ctx context.Context, order platform.StartOrder) error {
+// Start implements backend.Worker.
+func (w *worker) Start(ctx context.Context, order backend.StartOrder) error {
 	return w.order(ctx, "worker start", PathStart, order, nil)
 }
 
-// Renew implements platform.Worker.
+// Renew implements backend.Worker.
 func (w *worker) Renew(
-	ctx context.Context, epoch api.Epoch, tasks []platform.TaskRef, leaseEnd time.Duration,
+	ctx context.Context, epoch api.Epoch, tasks []backend.TaskRef, leaseEnd time.Duration,
 ) error {
 	order := RenewOrder{Epoch: epoch, Tasks: tasks, LeaseEnd: leaseEnd}
 	return w.order(ctx, "worker renew", PathRenew, order, nil)
 }
 
-// Throttle implements platform.Worker.
-func (w *worker) Throttle(ctx context.Context, ref platform.TaskRef, share float64) error {
+// Throttle implements backend.Worker.
+func (w *worker) Throttle(ctx context.Context, ref backend.TaskRef, share float64) error {
 	return w.order(ctx, "worker throttle", PathThrottle, ThrottleOrder{Ref: ref, Share: share}, nil)
 }
 
-// Checkpoint implements platform.Worker.
-func (w *worker) Checkpoint(ctx context.Context, ref platform.TaskRef) (string, error) {
+// Checkpoint implements backend.Worker.
+func (w *worker) Checkpoint(ctx context.Context, ref backend.TaskRef) (string, error) {
 	var answer CheckpointAnswer
 	err := w.order(ctx, "worker checkpoint", PathCheckpoint, ref, &answer)
 	return answer.Name, err
 }
 
-// Stop implements platform.Worker.
-func (w *worker) Stop(ctx context.Context, ref platform.TaskRef) error {
+// Stop implements backend.Worker.
+func (w *worker) Stop(ctx context.Context, ref backend.TaskRef) error {
 	return w.order(ctx, "worker stop", PathStop, ref, nil)
 }
 
-// Ack implements platform.Worker.
-func (w *worker) Ack(ctx context.Context, ref platform.TaskRef) error {
+// Ack implements backend.Worker.
+func (w *worker) Ack(ctx context.Context, ref backend.TaskRef) error {
 	return w.order(ctx, "worker ack", PathAck, ref, nil)
 }
 
-// Usage implements platform.Worker.
-func (w *worker) Usage(ctx context.Context) (platform.Usage, error) {
-	var usage platform.Usage
+// Usage implements backend.Worker.
+func (w *worker) Usage(ctx context.Context) (backend.Usage, error) {
+	var usage backend.Usage
 	err := w.get(ctx, "worker usage", PathUsage, &usage)
 	return usage, err
 }
--- a/platform/standin/answer.go
+++ b/backend/standin/answer.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
 	"bronzehook/fault"
-	"bronzehook/platform/httpplatform"
 )
 
 // echoRequestID repeats the id of a request in its answer, so that a client can tell late answers from its own.
@@ -32,7 +32,7 @@
 	if err != nil {
 		described := fault.Describe(err)
 		status = described.Status
-		value = httpplatform.ErrorBody{Code: described.Code, Detail: err.Error()}
+		value = httpbackend.ErrorBody{Code: described.Code, Detail: err.Error()}
 	}
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/platform/standin/attempt.go
+++ b/backend/standin/attempt.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
 type attemptKey struct {
@@ -16,7 +16,7 @@
 
 // attempt is one start of a task. Its fields are guarded by the worker's lock.
 type attempt struct {
-	order    platform.StartOrder
+	order    backend.StartOrder
 	plan     plan
 	state    api.SeenState
 	leaseEnd time.Duration
--- a/platform/standin/controlhttp.go
+++ b/backend/standin/controlhttp.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
 )
 
 // Paths of a worker's control listener that a real worker does not have. They work while the worker is frozen.
@@ -40,15 +40,15 @@
 	r.Get(PathWorkerJournal, w.serveJournal)
 	r.Group(func(r chi.Router) {
 		r.Use(w.spoilAnswers)
-		r.Post(httpplatform.PathFence, order(w.fenceOrder))
-		r.Get(httpplatform.PathInventory, report(w.Inventory))
-		r.Post(httpplatform.PathStart, order(without(w.Start)))
-		r.Post(httpplatform.PathRenew, order(without(w.renewOrder)))
-		r.Post(httpplatform.PathThrottle, order(without(w.throttleOrder)))
-		r.Post(httpplatform.PathCheckpoint, order(w.checkpointOrder))
-		r.Post(httpplatform.PathStop, order(without(w.Stop)))
-		r.Post(httpplatform.PathAck, order(without(w.Ack)))
-		r.Get(httpplatform.PathUsage, report(w.Usage))
+		r.Post(httpbackend.PathFence, order(w.fenceOrder))
+		r.Get(httpbackend.PathInventory, report(w.Inventory))
+		r.Post(httpbackend.PathStart, order(without(w.Start)))
+		r.Post(httpbackend.PathRenew, order(without(w.renewOrder)))
+		r.Post(httpbackend.PathThrottle, order(without(w.throttleOrder)))
+		r.Post(httpbackend.PathCheckpoint, order(w.checkpointOrder))
+		r.Post(httpbackend.PathStop, order(without(w.Stop)))
+		r.Post(httpbackend.PathAck, order(without(w.Ack)))
+		r.Get(httpbackend.PathUsage, report(w.Usage))
 	})
 	return r
 }
@@ -65,23 +65,23 @@
 	})
 }
 
-func (w *Worker) fenceOrder(ctx context.Context, o httpplatform.FenceOrder) (platform.Inventory, error) {
+func (w *Worker) fenceOrder(ctx context.Context, o httpbackend.FenceOrder) (backend.Inventory, error) {
 	return w.Fence(ctx, o.Epoch)
 }
 
-func (w *Worker) renewOrder(ctx context.Context, o httpplatform.RenewOrder) error {
+func (w *Worker) renewOrder(ctx context.Context, o httpbackend.RenewOrder) error {
 	return w.Renew(ctx, o.Epoch, o.Tasks, o.LeaseEnd)
 }
 
-func (w *Worker) throttleOrder(ctx context.Context, o httpplatform.ThrottleOrder) error {
+func (w *Worker) throttleOrder(ctx context.Context, o httpbackend.ThrottleOrder) error {
 	return w.Throttle(ctx, o.Ref, o.Share)
 }
 
 func (w *Worker) checkpointOrder(
-	ctx context.Context, ref platform.TaskRef,
-) (httpplatform.CheckpointAnswer, error) {
+	ctx context.Context, ref backend.TaskRef,
+) (httpbackend.CheckpointAnswer, error) {
 	name, err := w.Checkpoint(ctx, ref)
-	return httpplatform.CheckpointAnswer{Name: name}, err
+	return httpbackend.CheckpointAnswer{Name: name}, err
 }
 
 func (w *Worker) serveJournal(out http.ResponseWriter, _ *http.Request) {
--- a/platform/standin/directory.go
+++ b/backend/standin/directory.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
 // directoryHistory is the longest lag that the directory can show.
@@ -24,13 +24,13 @@
 	// Omit lists ids of instances and workers that are not shown.
 	Omit []string `json:"omit,omitempty"`
 	// Add lists entries that are shown without being registered.
-	Add []platform.Entry `json:"add,omitempty"`
+	Add []backend.Entry `json:"add,omitempty"`
 }
 
 // directoryView is what was registered from a moment on.
 type directoryView struct {
 	since   time.Time
-	entries map[string]platform.Entry
+	entries map[string]backend.Entry
 }
 
 // Directory is the platform's list of instances and workers.
@@ -43,36 +43,36 @@
 }
 
 func newDirectory(clock clockwork.Clock) *Directory {
-	empty := directoryView{since: clock.Now(), entries: map[string]platform.Entry{}}
+	empty := directoryView{since: clock.Now(), entries: map[string]backend.Entry{}}
 	return &Directory{clock: clock, views: []directoryView{empty}}
 }
 
 // PutInstance registers an instance or replaces its entry.
 func (d *Directory) PutInstance(i api.Instance) {
-	d.change(func(entries map[string]platform.Entry) {
-		entries[entryKey(platform.EntryInstance, string(i.ID))] =
-			platform.Entry{Kind: platform.EntryInstance, Instance: &i}
+	d.change(func(entries map[string]backend.Entry) {
+		entries[entryKey(backend.EntryInstance, string(i.ID))] =
+			backend.Entry{Kind: backend.EntryInstance, Instance: &i}
 	})
 }
 
 // DeleteInstance removes an instance.
 func (d *Directory) DeleteInstance(id api.InstanceID) {
-	d.change(func(entries map[string]platform.Entry) {
-		delete(entries, entryKey(platform.EntryInstance, string(id)))
+	d.change(func(entries map[string]backend.Entry) {
+		delete(entries, entryKey(backend.EntryInstance, string(id)))
 	})
 }
 
 // PutWorker registers a worker or replaces its entry.
 func (d *Directory) PutWorker(w api.Worker) {
-	d.change(func(entries map[string]platform.Entry) {
-		entries[entryKey(platform.EntryWorker, string(w.ID))] = platform.Entry{Kind: platform.EntryWorker, Worker: &w}
+	d.change(func(entries map[string]backend.Entry) {
+		entries[entryKey(backend.EntryWorker, string(w.ID))] = backend.Entry{Kind: backend.EntryWorker, Worker: &w}
 	})
 }
 
 // DeleteWorker removes a worker.
 func (d *Directory) DeleteWorker(id api.WorkerID) {
-	d.change(func(entries map[string]platform.Entry) {
-		delete(entries, entryKey(platform.EntryWorker, string(id)))
+	d.change(func(entries map[string]backend.Entry) {
+		delete(entries, entryKey(backend.EntryWorker, string(id)))
 	})
 }
 
@@ -83,26 +83,26 @@
 	d.faults = f
 }
 
-// List implements platform.Directory. Entries are ordered by kind and id.
-func (d *Directory) List(context.Context) ([]platform.Entry, error) {
+// List implements backend.Directory. Entries are ordered by kind and id.
+func (d *Directory) List(context.Context) ([]backend.Entry, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	entries := maps.Clone(d.viewAt(d.clock.Now().Add(-d.faults.Lag)).entries)
 	for _, id := range d.faults.Omit {
-		delete(entries, entryKey(platform.EntryInstance, id))
-		delete(entries, entryKey(platform.EntryWorker, id))
+		delete(entries, entryKey(backend.EntryInstance, id))
+		delete(entries, entryKey(backend.EntryWorker, id))
 	}
 	for _, added := range d.faults.Add {
 		entries[entryKey(added.Kind, entryID(added))] = added
 	}
-	listed := make([]platform.Entry, 0, len(entries))
+	listed := make([]backend.Entry, 0, len(entries))
 	for _, key := range slices.SortedFunc(maps.Keys(entries), strings.Compare) {
 		listed = append(listed, entries[key])
 	}
 	return listed, nil
 }
 
-func (d *Directory) change(apply func(map[string]platform.Entry)) {
+func (d *Directory) change(apply func(map[string]backend.Entry)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
@@ -124,9 +124,9 @@
 	return d.views[0]
 }
 
-func entryKey(kind platform.EntryKind, id string) string { return string(kind) + "/" + id }
+func entryKey(kind backend.EntryKind, id string) string { return string(kind) + "/" + id }
 
-func entryID(e platform.Entry) string {
+func entryID(e backend.Entry) string {
 	switch {
 	case e.Instance != nil:
 		return string(e.Instance.ID)
--- a/platform/standin/inventory.go
+++ b/backend/standin/inventory.go
@@ -2,14 +2,14 @@
 
 import (
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
-func (w *Worker) inventory() platform.Inventory {
-	inventory := platform.Inventory{
+func (w *Worker) inventory() backend.Inventory {
+	inventory := backend.Inventory{
 		Worker:  w.describe(),
 		Epoch:   w.epoch,
-		Tasks:   make([]platform.TaskStatus, 0, len(w.attempts)),
+		Tasks:   make([]backend.TaskStatus, 0, len(w.attempts)),
 		Leaving: w.leaving,
 		Clock:   w.reading(),
 		Boot:    w.boot,
@@ -25,8 +25,8 @@
 	return inventory
 }
 
-func (w *Worker) status(a *attempt) platform.TaskStatus {
-	status := platform.TaskStatus{
+func (w *Worker) status(a *attempt) backend.TaskStatus {
+	status := backend.TaskStatus{
 		Task:       a.order.Task,
 		Work:       a.order.Work,
 		Kind:       a.order.Kind,
--- a/platform/standin/objects.go
+++ b/backend/standin/objects.go
@@ -19,7 +19,7 @@
 	return &faultyObjects{gate: g, data: map[string][]byte{}}
 }
 
-// Put implements platform.Objects.
+// Put implements backend.Objects.
 func (o *faultyObjects) Put(ctx context.Context, name string, data []byte) error {
 	if name == "" {
 		return fault.New(fault.CodeInvalid, "object put", "the name is missing")
@@ -31,7 +31,7 @@
 	return o.gate.reply("object put")
 }
 
-// Get implements platform.Objects.
+// Get implements backend.Objects.
 func (o *faultyObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := o.gate.enter(ctx, "object get"); err != nil {
 		return nil, err
@@ -45,7 +45,7 @@
 	return bytes.Clone(data), nil
 }
 
-// Delete implements platform.Objects. Deleting an absent object succeeds.
+// Delete implements backend.Objects. Deleting an absent object succeeds.
 func (o *faultyObjects) Delete(ctx context.Context, name string) error {
 	if err := o.gate.enter(ctx, "object delete"); err != nil {
 		return err
--- a/platform/standin/orders.go
+++ b/backend/standin/orders.go
@@ -5,31 +5,31 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
-// Fence implements platform.Worker.
-func (w *Worker) Fence(_ context.Context, epoch api.Epoch) (platform.Inventory, error) {
+// Fence implements backend.Worker.
+func (w *Worker) Fence(_ context.Context, epoch api.Epoch) (backend.Inventory, error) {
 	w.lock()
 	defer w.unlock()
 	if epoch < w.epoch && !w.faults.ignoresEpochs() {
-		return platform.Inventory{}, staleEpoch("worker fence", epoch, w.epoch)
+		return backend.Inventory{}, staleEpoch("worker fence", epoch, w.epoch)
 	}
 	w.epoch = max(w.epoch, epoch)
 	return w.inventory(), nil
 }
 
-// Inventory implements platform.Worker.
-func (w *Worker) Inventory(context.Context) (platform.Inventory, error) {
+// Inventory implements backend.Worker.
+func (w *Worker) Inventory(context.Context) (backend.Inventory, error) {
 	w.lock()
 	defer w.unlock()
 	return w.inventory(), nil
 }
 
-// Start implements platform.Worker. A refused attempt number counts as seen, so that a copy of the order that arrives
+// Start implements backend.Worker. A refused attempt number counts as seen, so that a copy of the order that arrives
 // later cannot start an attempt that was given up.
-func (w *Worker) Start(_ context.Context, order platform.StartOrder) error {
+func (w *Worker) Start(_ context.Context, order backend.StartOrder) error {
 	w.lock()
 	defer w.unlock()
 	if err := w.checkEpoch("worker start", order.Epoch); err != nil {
@@ -47,7 +47,7 @@
 	return nil
 }
 
-func (w *Worker) checkStart(order platform.StartOrder) error {
+func (w *Worker) checkStart(order backend.StartOrder) error {
 	const op = "worker start"
 	now := w.reading()
 	need := order.Resources
@@ -69,8 +69,8 @@
 	return nil
 }
 
-// Renew implements platform.Worker.
-func (w *Worker) Renew(_ context.Context, epoch api.Epoch, tasks []platform.TaskRef, leaseEnd time.Duration) error {
+// Renew implements backend.Worker.
+func (w *Worker) Renew(_ context.Context, epoch api.Epoch, tasks []backend.TaskRef, leaseEnd time.Duration) error {
 	w.lock()
 	defer w.unlock()
 	if err := w.checkEpoch("worker renew", epoch); err != nil {
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// Throttle implements platform.Worker.
-func (w *Worker) Throttle(_ context.Context, ref platform.TaskRef, share float64) error {
+// Throttle implements backend.Worker.
+func (w *Worker) Throttle(_ context.Context, ref backend.TaskRef, share float64) error {
 	w.lock()
 	defer w.unlock()
 	a, err := w.find("worker throttle", ref)
@@ -103,9 +103,9 @@
 	return nil
 }
 
-// Stop implements platform.Worker. An attempt that was never seen is noted as seen, so that a start order that arrives
+// Stop implements backend.Worker. An attempt that was never seen is noted as seen, so that a start order that arrives
 // later is refused.
-func (w *Worker) Stop(_ context.Context, ref platform.TaskRef) error {
+func (w *Worker) Stop(_ context.Context, ref backend.TaskRef) error {
 	w.lock()
 	defer w.unlock()
 	if err := w.checkEpoch("worker stop", ref.Epoch); err != nil {
@@ -118,8 +118,8 @@
 	return nil
 }
 
-// Ack implements platform.Worker. An attempt that is not known counts as forgotten.
-func (w *Worker) Ack(_ context.Context, ref platform.TaskRef) error {
+// Ack implements backend.Worker. An attempt that is not known counts as forgotten.
+func (w *Worker) Ack(_ context.Context, ref backend.TaskRef) error {
 	w.lock()
 	defer w.unlock()
 	if err := w.checkEpoch("worker ack", ref.Epoch); err != nil {
@@ -151,7 +151,7 @@
 }
 
 // find returns the attempt of an order if it has not ended.
-func (w *Worker) find(op string, ref platform.TaskRef) (*attempt, error) {
+func (w *Worker) find(op string, ref backend.TaskRef) (*attempt, error) {
 	if err := w.checkEpoch(op, ref.Epoch); err != nil {
 		return nil, err
 	}
--- a/platform/standin/orders_test.go
+++ b/backend/standin/orders_test.go
@@ -7,9 +7,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/standin"
 )
 
 // Guards against each way in which an order that must not take effect could: from an old owner, for an old attempt,
@@ -18,43 +18,43 @@
 	const clockReading = time.Minute
 	running := order("running", api.KindWatcher, 2)
 	next := order("next", api.KindWatcher, 1)
-	changed := func(change func(*platform.StartOrder)) platform.StartOrder {
+	changed := func(change func(*backend.StartOrder)) backend.StartOrder {
 		o := next
 		change(&o)
 		return o
 	}
-	startOf := func(change func(*platform.StartOrder)) func(*rig) error {
+	startOf := func(change func(*backend.StartOrder)) func(*rig) error {
 		return func(r *rig) error { return r.control.Start(r.ctx, changed(change)) }
 	}
-	refOf := func(change func(*platform.TaskRef)) platform.TaskRef {
+	refOf := func(change func(*backend.TaskRef)) backend.TaskRef {
 		named := ref(running)
 		change(&named)
 		return named
 	}
-	old := refOf(func(n *platform.TaskRef) { n.Epoch-- })
-	absent := refOf(func(n *platform.TaskRef) { n.Attempt++ })
+	old := refOf(func(n *backend.TaskRef) { n.Epoch-- })
+	absent := refOf(func(n *backend.TaskRef) { n.Attempt++ })
 	cases := map[string]struct {
 		act  func(*rig) error
 		want fault.Code
 	}{
-		"start accepted":    {startOf(func(*platform.StartOrder) {}), ""},
-		"start old epoch":   {startOf(func(o *platform.StartOrder) { o.Epoch-- }), fault.CodeStaleEpoch},
-		"start not fenced":  {startOf(func(o *platform.StartOrder) { o.Epoch++ }), fault.CodeNotReady},
-		"start attempt 0":   {startOf(func(o *platform.StartOrder) { o.Attempt = 0 }), fault.CodeStaleAttempt},
+		"start accepted":    {startOf(func(*backend.StartOrder) {}), ""},
+		"start old epoch":   {startOf(func(o *backend.StartOrder) { o.Epoch-- }), fault.CodeStaleEpoch},
+		"start not fenced":  {startOf(func(o *backend.StartOrder) { o.Epoch++ }), fault.CodeNotReady},
+		"start attempt 0":   {startOf(func(o *backend.StartOrder) { o.Attempt = 0 }), fault.CodeStaleAttempt},
 		"start repeated":    {func(r *rig) error { return r.control.Start(r.ctx, running) }, fault.CodeStaleAttempt},
-		"start expired":     {startOf(func(o *platform.StartOrder) { o.NotAfter = clockReading - 1 }), fault.CodeExpired},
-		"start lease past":  {startOf(func(o *platform.StartOrder) { o.LeaseEnd = clockReading }), fault.CodeExpired},
-		"start no cpu":      {startOf(func(o *platform.StartOrder) { o.Resources.MilliCPU = 3001 }), fault.CodeNoCapacity},
-		"start no memory":   {startOf(func(o *platform.StartOrder) { o.Resources.MemoryMB = 901 }), fault.CodeNoCapacity},
-		"start accelerator": {startOf(func(o *platform.StartOrder) { o.Resources.Accelerators = 1 }), fault.CodeNoCapacity},
-		"start negative":    {startOf(func(o *platform.StartOrder) { o.Resources.MemoryMB = -1 }), fault.CodeInvalid},
-		"start unknown":     {startOf(func(o *platform.StartOrder) { o.Kind = "cron" }), fault.CodeInvalid},
+		"start expired":     {startOf(func(o *backend.StartOrder) { o.NotAfter = clockReading - 1 }), fault.CodeExpired},
+		"start lease past":  {startOf(func(o *backend.StartOrder) { o.LeaseEnd = clockReading }), fault.CodeExpired},
+		"start no cpu":      {startOf(func(o *backend.StartOrder) { o.Resources.MilliCPU = 3001 }), fault.CodeNoCapacity},
+		"start no memory":   {startOf(func(o *backend.StartOrder) { o.Resources.MemoryMB = 901 }), fault.CodeNoCapacity},
+		"start accelerator": {startOf(func(o *backend.StartOrder) { o.Resources.Accelerators = 1 }), fault.CodeNoCapacity},
+		"start negative":    {startOf(func(o *backend.StartOrder) { o.Resources.MemoryMB = -1 }), fault.CodeInvalid},
+		"start unknown":     {startOf(func(o *backend.StartOrder) { o.Kind = "cron" }), fault.CodeInvalid},
 		"start on leaving": {func(r *rig) error {
 			r.worker.SetLeaving(true)
 			return r.control.Start(r.ctx, next)
 		}, fault.CodeStopping},
 		"start after refusal": {func(r *rig) error {
-			_ = startOf(func(o *platform.StartOrder) { o.Resources.MemoryMB = 901 })(r)
+			_ = startOf(func(o *backend.StartOrder) { o.Resources.MemoryMB = 901 })(r)
 			return r.control.Start(r.ctx, next)
 		}, fault.CodeStaleAttempt},
 		"start after stop": {func(r *rig) error {
@@ -88,7 +88,7 @@
 		"ack running":    {func(r *rig) error { return r.control.Ack(r.ctx, ref(running)) }, fault.CodeConflict},
 		"old epoch is ignored": {func(r *rig) error {
 			r.worker.SetFaults(standin.WorkerFaults{IgnoreEpochs: true})
-			return r.control.Start(r.ctx, changed(func(o *platform.StartOrder) { o.Epoch-- }))
+			return r.control.Start(r.ctx, changed(func(o *backend.StartOrder) { o.Epoch-- }))
 		}, ""},
 	}
 	for name, c := range cases {
@@ -120,7 +120,7 @@
 	r.start(short)
 	r.start(long)
 	for _, end := range []time.Duration{60 * time.Second, 10 * time.Second} {
-		if err := r.control.Renew(r.ctx, testEpoch, []platform.TaskRef{ref(long)}, end); err != nil {
+		if err := r.control.Renew(r.ctx, testEpoch, []backend.TaskRef{ref(long)}, end); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/platform/standin/plan.go
+++ b/backend/standin/plan.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Programs that a command may name first, each followed by a duration.
@@ -34,7 +34,7 @@
 
 // planOf reads the command of an order. A command with another program runs with the defaults, because operators'
 // files name programs that the stand-in does not have.
-func (c *WorkerConfig) planOf(order platform.StartOrder) (plan, error) {
+func (c *WorkerConfig) planOf(order backend.StartOrder) (plan, error) {
 	p := plan{duration: c.RunTime}
 	program := ProgramRun
 	if order.Kind == api.KindService {
--- a/platform/standin/platform.go
+++ b/backend/standin/platform.go
@@ -12,9 +12,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
 )
 
 // Paths of the stand-in that a real platform does not have.
@@ -46,10 +46,10 @@
 }
 
 // Table returns the table, with its faults, for use in this process.
-func (p *Platform) Table() platform.Table { return p.table }
+func (p *Platform) Table() backend.Table { return p.table }
 
 // Objects returns the object store, with its faults, for use in this process.
-func (p *Platform) Objects() platform.Objects { return p.objects }
+func (p *Platform) Objects() backend.Objects { return p.objects }
 
 // Directory returns the directory.
 func (p *Platform) Directory() *Directory { return p.directory }
@@ -60,17 +60,17 @@
 // SetObjectFaults replaces the faults of the object store.
 func (p *Platform) SetObjectFaults(f StoreFaults) { p.objectsGate.set(f) }
 
-// Handler returns the HTTP interface that package httpplatform speaks, with the paths of the stand-in.
+// Handler returns the HTTP interface that package httpbackend speaks, with the paths of the stand-in.
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Use(echoRequestID)
-	r.Get(httpplatform.PathTableRow, p.getRow)
-	r.Get(httpplatform.PathTableRows, p.listRows)
-	r.Post(httpplatform.PathTableCommit, p.commit)
-	r.Put(httpplatform.PathObjects, p.putObject)
-	r.Get(httpplatform.PathObjects, p.getObject)
-	r.Delete(httpplatform.PathObjects, p.deleteObject)
-	r.Get(httpplatform.PathDirectory, p.listDirectory)
+	r.Get(httpbackend.PathTableRow, p.getRow)
+	r.Get(httpbackend.PathTableRows, p.listRows)
+	r.Post(httpbackend.PathTableCommit, p.commit)
+	r.Put(httpbackend.PathObjects, p.putObject)
+	r.Get(httpbackend.PathObjects, p.getObject)
+	r.Delete(httpbackend.PathObjects, p.deleteObject)
+	r.Get(httpbackend.PathDirectory, p.listDirectory)
 	r.Put(PathInstance, p.putInstance)
 	r.Delete(PathInstance, p.deleteInstance)
 	r.Put(PathTableFaults, setter(p.SetTableFaults))
@@ -80,17 +80,17 @@
 }
 
 func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
-	row, err := p.table.Get(r.Context(), r.URL.Query().Get(httpplatform.ParamKey))
+	row, err := p.table.Get(r.Context(), r.URL.Query().Get(httpbackend.ParamKey))
 	answer(w, row, err)
 }
 
 func (p *Platform) listRows(w http.ResponseWriter, r *http.Request) {
-	rows, err := p.table.List(r.Context(), r.URL.Query().Get(httpplatform.ParamPrefix))
+	rows, err := p.table.List(r.Context(), r.URL.Query().Get(httpbackend.ParamPrefix))
 	answer(w, rows, err)
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn backend.Txn
 	if err := decode(w, r, &txn); err != nil {
 		answer(w, nil, err)
 		return
@@ -100,17 +100,17 @@
 }
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpplatform.MaxObjectBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpbackend.MaxObjectBytes))
 	if err != nil {
 		answer(w, nil, bodyError("object put", err))
 		return
 	}
-	name := r.URL.Query().Get(httpplatform.ParamName)
+	name := r.URL.Query().Get(httpbackend.ParamName)
 	answer(w, struct{}{}, p.objects.Put(uninterrupted(r), name, data))
 }
 
 func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
-	data, err := p.objects.Get(r.Context(), r.URL.Query().Get(httpplatform.ParamName))
+	data, err := p.objects.Get(r.Context(), r.URL.Query().Get(httpbackend.ParamName))
 	if err != nil {
 		answer(w, nil, err)
 		return
@@ -119,7 +119,7 @@
 }
 
 func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
-	answer(w, struct{}{}, p.objects.Delete(uninterrupted(r), r.URL.Query().Get(httpplatform.ParamName)))
+	answer(w, struct{}{}, p.objects.Delete(uninterrupted(r), r.URL.Query().Get(httpbackend.ParamName)))
 }
 
 func (p *Platform) listDirectory(w http.ResponseWriter, r *http.Request) {
@@ -178,7 +178,7 @@
 }
 
 func decode(w http.ResponseWriter, r *http.Request, into any) error {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpplatform.MaxOrderBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpbackend.MaxOrderBytes))
 	if err != nil {
 		return bodyError(r.URL.Path, err)
 	}
--- a/platform/standin/platformfaults_test.go
+++ b/backend/standin/platformfaults_test.go
@@ -14,10 +14,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 const shortTimeout = 100 * time.Millisecond
@@ -46,7 +46,7 @@
 // Guards against store faults that do not show, that show on the other store, that undo a write whose reply was lost,
 // or that stay after they were lifted.
 func TestStoreFaults(t *testing.T) {
-	write := platform.Txn{OpID: "write", Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+	write := backend.Txn{OpID: "write", Writes: []backend.Write{{Key: "k", Value: []byte("v")}}}
 	cases := map[string]struct {
 		faults standin.StoreFaults
 		want   fault.Code
@@ -71,7 +71,7 @@
 			if name == "slower than caller" {
 				timeout = shortTimeout
 			}
-			client := httpplatform.New(server.URL, nil, timeout)
+			client := httpbackend.New(server.URL, nil, timeout)
 			put(t, http.MethodPut, server.URL+standin.PathTableFaults, c.faults)
 			_, err := client.Table().Commit(ctx, write)
 			wantCode(t, err, c.want)
@@ -102,7 +102,7 @@
 		p.SetTableFaults(f)
 		var pattern strings.Builder
 		for n := range 64 {
-			_, err := p.Table().Commit(context.Background(), platform.Txn{OpID: strconv.Itoa(n)})
+			_, err := p.Table().Commit(context.Background(), backend.Txn{OpID: strconv.Itoa(n)})
 			if err == nil {
 				pattern.WriteByte('.')
 				continue
@@ -129,7 +129,7 @@
 	server := httptest.NewServer(standin.NewPlatform(clockwork.NewRealClock()).Handler())
 	defer server.Close()
 	ctx := context.Background()
-	objects := httpplatform.New(server.URL, nil, callTimeout).Objects()
+	objects := httpbackend.New(server.URL, nil, callTimeout).Objects()
 	wantCode(t, objects.Put(ctx, "a/b?c", []byte("data")), "")
 	for range 2 {
 		wantCode(t, objects.Delete(ctx, "a/b?c"), "")
@@ -144,7 +144,7 @@
 	p := standin.NewPlatform(clock)
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	directory := httpplatform.New(server.URL, nil, callTimeout).Directory()
+	directory := httpbackend.New(server.URL, nil, callTimeout).Directory()
 	setFaults := func(f standin.DirectoryFaults) {
 		put(t, http.MethodPut, server.URL+standin.PathDirectoryFaults, f)
 	}
@@ -170,14 +170,14 @@
 	check("after the lag", "w1-leaving")
 	setFaults(standin.DirectoryFaults{
 		Omit: []string{"w1"},
-		Add:  []platform.Entry{{Kind: platform.EntryInstance, Instance: &api.Instance{ID: "ghost"}}},
+		Add:  []backend.Entry{{Kind: backend.EntryInstance, Instance: &api.Instance{ID: "ghost"}}},
 	})
 	check("wrong entries", "ghost")
 	setFaults(standin.DirectoryFaults{})
 	check("without faults", "w1-leaving")
 }
 
-func listing(entries []platform.Entry) string {
+func listing(entries []backend.Entry) string {
 	var names []string
 	for _, e := range entries {
 		switch {
--- a/platform/standin/reader.go
+++ b/backend/standin/reader.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // ReaderTable is one instance's way to the table, with faults that concern this instance only.
 type ReaderTable struct {
-	table platform.Table
+	table backend.Table
 	// Down refuses all calls.
 	Down atomic.Bool
 	// Delay in nanoseconds passes before each call takes effect.
@@ -25,7 +25,7 @@
 }
 
 // NewReaderTable returns a way to a table without faults.
-func NewReaderTable(table platform.Table) *ReaderTable { return &ReaderTable{table: table} }
+func NewReaderTable(table backend.Table) *ReaderTable { return &ReaderTable{table: table} }
 
 func (s *ReaderTable) enter(ctx context.Context, op string) error {
 	if delay := time.Duration(s.Delay.Load()); delay > 0 {
@@ -41,17 +41,17 @@
 	return nil
 }
 
-// Get implements platform.Table.
-func (s *ReaderTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table.
+func (s *ReaderTable) Get(ctx context.Context, key string) (backend.Row, error) {
 	s.Reads.Add(1)
 	if err := s.enter(ctx, "get"); err != nil {
-		return platform.Row{Key: key}, err
+		return backend.Row{Key: key}, err
 	}
 	return s.table.Get(ctx, key)
 }
 
-// List implements platform.Table.
-func (s *ReaderTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (s *ReaderTable) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	s.Reads.Add(1)
 	if err := s.enter(ctx, "list"); err != nil {
 		return nil, err
@@ -59,35 +59,35 @@
 	return s.table.List(ctx, prefix)
 }
 
-// Commit implements platform.Table.
-func (s *ReaderTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (s *ReaderTable) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	s.Writes.Add(1)
 	if err := s.enter(ctx, "commit"); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	result, err := s.table.Commit(ctx, txn)
 	if err == nil && s.Lost.Load() {
-		return platform.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "commit", "the reply was lost")
+		return backend.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "commit", "the reply was lost")
 	}
 	return result, err
 }
 
 // ReaderDirectory is one instance's way to the directory, which may know earlier than others that a worker leaves.
 type ReaderDirectory struct {
-	directory platform.Directory
+	directory backend.Directory
 	leaving   atomic.Pointer[api.WorkerID]
 }
 
 // NewReaderDirectory returns a way to a directory that shows what the directory shows.
-func NewReaderDirectory(directory platform.Directory) *ReaderDirectory {
+func NewReaderDirectory(directory backend.Directory) *ReaderDirectory {
 	return &ReaderDirectory{directory: directory}
 }
 
 // SetLeaving lets this reader see a worker as leaving.
 func (s *ReaderDirectory) SetLeaving(id api.WorkerID) { s.leaving.Store(&id) }
 
-// List implements platform.Directory.
-func (s *ReaderDirectory) List(ctx context.Context) ([]platform.Entry, error) {
+// List implements backend.Directory.
+func (s *ReaderDirectory) List(ctx context.Context) ([]backend.Entry, error) {
 	entries, err := s.directory.List(ctx)
 	leaving := s.leaving.Load()
 	for index, entry := range entries {
--- a/platform/standin/request_test.go
+++ b/backend/standin/request_test.go
@@ -15,9 +15,9 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/standin"
 )
 
 // reply is what the sender of a request sees.
@@ -46,7 +46,7 @@
 	}
 }
 
-func (r *rig) startService(command ...string) (platform.StartOrder, string) {
+func (r *rig) startService(command ...string) (backend.StartOrder, string) {
 	r.t.Helper()
 	service := order("web", api.KindService, 1, command...)
 	r.start(service)
@@ -142,7 +142,7 @@
 	}
 }
 
-func (r *rig) sendAll(service platform.StartOrder, addr string, count int) []reply {
+func (r *rig) sendAll(service backend.StartOrder, addr string, count int) []reply {
 	replies := make([]reply, count)
 	var group sync.WaitGroup
 	for i := range replies {
@@ -193,19 +193,19 @@
 	cases := map[string]struct {
 		notAfter time.Duration
 		// freeSlot ends the first request or lets it finish, so that the second is checked again.
-		freeSlot func(*rig, platform.StartOrder, *clockwork.FakeClock) error
+		freeSlot func(*rig, backend.StartOrder, *clockwork.FakeClock) error
 		want     fault.Code
 	}{
-		"fenced": {longLease, func(r *rig, _ platform.StartOrder, clock *clockwork.FakeClock) error {
+		"fenced": {longLease, func(r *rig, _ backend.StartOrder, clock *clockwork.FakeClock) error {
 			_, err := r.control.Fence(r.ctx, testEpoch+1)
 			clock.Advance(5 * time.Second)
 			return err
 		}, fault.CodeStaleEpoch},
-		"expired": {2 * time.Second, func(_ *rig, _ platform.StartOrder, clock *clockwork.FakeClock) error {
+		"expired": {2 * time.Second, func(_ *rig, _ backend.StartOrder, clock *clockwork.FakeClock) error {
 			clock.Advance(5 * time.Second)
 			return nil
 		}, fault.CodeExpired},
-		"stopped": {longLease, func(r *rig, o platform.StartOrder, _ *clockwork.FakeClock) error {
+		"stopped": {longLease, func(r *rig, o backend.StartOrder, _ *clockwork.FakeClock) error {
 			return r.control.Stop(r.ctx, ref(o))
 		}, fault.CodeNotFound},
 	}
--- a/platform/standin/site.go
+++ b/backend/standin/site.go
@@ -34,7 +34,7 @@
 // Site is a platform and its workers on ports of the loopback address.
 type Site struct {
 	Platform *Platform
-	// URL is the address of the platform, for httpplatform.New.
+	// URL is the address of the platform, for httpbackend.New.
 	URL     string
 	server  *server
 	mu      sync.Mutex
--- a/platform/standin/site_test.go
+++ b/backend/standin/site_test.go
@@ -10,10 +10,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 const (
@@ -31,7 +31,7 @@
 	ctx      context.Context
 	platform *standin.Platform
 	worker   *standin.Worker
-	control  platform.Worker
+	control  backend.Worker
 }
 
 // newRig starts a worker with a capacity of four cores and fences it with testEpoch.
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(w.Close)
-	control := httpplatform.NewWorkers(nil, callTimeout).Worker(w.Description())
+	control := httpbackend.NewWorkers(nil, callTimeout).Worker(w.Description())
 	r := &rig{t: t, ctx: context.Background(), platform: p, worker: w, control: control}
 	if _, err := control.Fence(r.ctx, testEpoch); err != nil {
 		t.Fatal(err)
@@ -61,25 +61,25 @@
 	return r
 }
 
-func order(task api.TaskID, kind api.Kind, attempt uint64, command ...string) platform.StartOrder {
-	return platform.StartOrder{
+func order(task api.TaskID, kind api.Kind, attempt uint64, command ...string) backend.StartOrder {
+	return backend.StartOrder{
 		Task: task, Work: string(task), Kind: kind, Attempt: attempt, Epoch: testEpoch, Resources: oneCore,
 		Command: command, LeaseEnd: longLease, NotAfter: longLease,
 	}
 }
 
-func ref(o platform.StartOrder) platform.TaskRef {
-	return platform.TaskRef{Task: o.Task, Attempt: o.Attempt, Epoch: o.Epoch}
+func ref(o backend.StartOrder) backend.TaskRef {
+	return backend.TaskRef{Task: o.Task, Attempt: o.Attempt, Epoch: o.Epoch}
 }
 
-func (r *rig) start(o platform.StartOrder) {
+func (r *rig) start(o backend.StartOrder) {
 	r.t.Helper()
 	if err := r.control.Start(r.ctx, o); err != nil {
 		r.t.Fatal(err)
 	}
 }
 
-func (r *rig) status(o platform.StartOrder) platform.TaskStatus {
+func (r *rig) status(o backend.StartOrder) backend.TaskStatus {
 	r.t.Helper()
 	inventory, err := r.control.Inventory(r.ctx)
 	if err != nil {
@@ -90,12 +90,12 @@
 			return status
 		}
 	}
-	return platform.TaskStatus{}
+	return backend.TaskStatus{}
 }
 
-func (r *rig) awaitState(o platform.StartOrder, want api.SeenState) platform.TaskStatus {
+func (r *rig) awaitState(o backend.StartOrder, want api.SeenState) backend.TaskStatus {
 	r.t.Helper()
-	var status platform.TaskStatus
+	var status backend.TaskStatus
 	eventually(r.t, func() bool {
 		status = r.status(o)
 		return status.State == want
@@ -115,7 +115,7 @@
 }
 
 // request returns a request to a service's task with all headers.
-func (r *rig) request(o platform.StartOrder, addr, id string) *http.Request {
+func (r *rig) request(o backend.StartOrder, addr, id string) *http.Request {
 	r.t.Helper()
 	request, err := http.NewRequestWithContext(r.ctx, http.MethodPost, "http://"+addr+"/path", http.NoBody)
 	if err != nil {
@@ -152,7 +152,7 @@
 	}
 	defer site.Close()
 	ctx := context.Background()
-	entries, err := httpplatform.New(site.URL, nil, callTimeout).Directory().List(ctx)
+	entries, err := httpbackend.New(site.URL, nil, callTimeout).Directory().List(ctx)
 	if err != nil || len(entries) != 9 {
 		t.Fatalf("directory = %v, %v; want 9 workers", entries, err)
 	}
@@ -160,7 +160,7 @@
 	if described.Location.Rack != "r1" || described.Slots != 8 || described.Connections != 64 {
 		t.Errorf("ninth worker = %+v", described)
 	}
-	control := httpplatform.NewWorkers(nil, callTimeout).Worker(described)
+	control := httpbackend.NewWorkers(nil, callTimeout).Worker(described)
 	r := &rig{t: t, ctx: ctx, platform: site.Platform, worker: site.Worker("montego-w8"), control: control}
 	if _, err := control.Fence(ctx, testEpoch); err != nil {
 		t.Fatal(err)
@@ -169,7 +169,7 @@
 	job := order("batch.0", api.KindJob, 1, "run", "10ms")
 	failing := order("batch.1", api.KindJob, 1, "run", "10ms", "--fail")
 	watcher := order("watch.0", api.KindWatcher, 1)
-	for _, o := range []platform.StartOrder{service, job, failing, watcher} {
+	for _, o := range []backend.StartOrder{service, job, failing, watcher} {
 		r.start(o)
 	}
 	addr := r.awaitState(service, api.SeenRunning).Addr
--- a/platform/standin/start.go
+++ b/backend/standin/start.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // checkpointRetryDelay is the time between two tries to load a checkpoint while the object store is down.
@@ -23,7 +23,7 @@
 }
 
 // begin starts an attempt that passed all checks.
-func (w *Worker) begin(order platform.StartOrder) {
+func (w *Worker) begin(order backend.StartOrder) {
 	now := w.clock.Now()
 	a := &attempt{
 		order:      order,
@@ -114,8 +114,8 @@
 	a.showRunning()
 }
 
-// Checkpoint implements platform.Worker.
-func (w *Worker) Checkpoint(ctx context.Context, ref platform.TaskRef) (string, error) {
+// Checkpoint implements backend.Worker.
+func (w *Worker) Checkpoint(ctx context.Context, ref backend.TaskRef) (string, error) {
 	const op = "worker checkpoint"
 	a, number, data, err := w.snapshot(op, ref)
 	if err != nil {
@@ -137,7 +137,7 @@
 }
 
 // snapshot returns the state to store. It takes the lock, and the store is written without it.
-func (w *Worker) snapshot(op string, ref platform.TaskRef) (*attempt, int, checkpointData, error) {
+func (w *Worker) snapshot(op string, ref backend.TaskRef) (*attempt, int, checkpointData, error) {
 	w.lock()
 	defer w.unlock()
 	a, err := w.find(op, ref)
--- a/platform/standin/table.go
+++ b/backend/standin/table.go
@@ -7,8 +7,8 @@
 	"strings"
 	"sync"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // maxRememberedOperations bounds the memory of operation ids. It covers more than five minutes at the platform's
@@ -20,42 +20,42 @@
 type rowTable struct {
 	mu      sync.Mutex
 	commits uint64
-	rows    map[string]platform.Row
-	results map[string]platform.CommitResult
+	rows    map[string]backend.Row
+	results map[string]backend.CommitResult
 	// operations holds the keys of results from oldest to newest.
 	operations []string
 }
 
 func newRowTable() *rowTable {
-	return &rowTable{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+	return &rowTable{rows: map[string]backend.Row{}, results: map[string]backend.CommitResult{}}
 }
 
-func (t *rowTable) get(key string) (platform.Row, error) {
+func (t *rowTable) get(key string) (backend.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{Key: key}, fault.New(fault.CodeNotFound, "table get", "no row %q", key)
+		return backend.Row{Key: key}, fault.New(fault.CodeNotFound, "table get", "no row %q", key)
 	}
 	return row, nil
 }
 
-func (t *rowTable) list(prefix string) []platform.Row {
+func (t *rowTable) list(prefix string) []backend.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []backend.Row{}
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows
 }
 
-func (t *rowTable) commit(txn platform.Txn) (platform.CommitResult, error) {
+func (t *rowTable) commit(txn backend.Txn) (backend.CommitResult, error) {
 	if txn.OpID == "" {
-		return platform.CommitResult{}, fault.New(fault.CodeInvalid, "table commit", "the operation id is missing")
+		return backend.CommitResult{}, fault.New(fault.CodeInvalid, "table commit", "the operation id is missing")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,7 +64,7 @@
 	}
 	for _, condition := range txn.Conditions {
 		if version := t.rows[condition.Key].Version; version != condition.Version {
-			return platform.CommitResult{}, fault.New(fault.CodeConflict, "table commit",
+			return backend.CommitResult{}, fault.New(fault.CodeConflict, "table commit",
 				"row %q has version %d, the condition states %d", condition.Key, version, condition.Version)
 		}
 	}
@@ -73,9 +73,9 @@
 	return copyResult(result), nil
 }
 
-func (t *rowTable) write(txn platform.Txn) platform.CommitResult {
+func (t *rowTable) write(txn backend.Txn) backend.CommitResult {
 	t.commits++
-	result := platform.CommitResult{Versions: map[string]uint64{}}
+	result := backend.CommitResult{Versions: map[string]uint64{}}
 	for _, write := range txn.Writes {
 		if write.Delete {
 			delete(t.rows, write.Key)
@@ -83,13 +83,13 @@
 			continue
 		}
 		value := slices.Clone(write.Value)
-		t.rows[write.Key] = platform.Row{Key: write.Key, Value: value, Version: t.commits, OpID: txn.OpID}
+		t.rows[write.Key] = backend.Row{Key: write.Key, Value: value, Version: t.commits, OpID: txn.OpID}
 		result.Versions[write.Key] = t.commits
 	}
 	return result
 }
 
-func (t *rowTable) remember(operation string, result platform.CommitResult) {
+func (t *rowTable) remember(operation string, result backend.CommitResult) {
 	t.results[operation] = result
 	t.operations = append(t.operations, operation)
 	if len(t.operations) > maxRememberedOperations {
@@ -98,8 +98,8 @@
 	}
 }
 
-func copyResult(r platform.CommitResult) platform.CommitResult {
-	return platform.CommitResult{Versions: maps.Clone(r.Versions)}
+func copyResult(r backend.CommitResult) backend.CommitResult {
+	return backend.CommitResult{Versions: maps.Clone(r.Versions)}
 }
 
 // faultyTable is the table behind its faults.
@@ -108,30 +108,30 @@
 	gate *gate
 }
 
-// Get implements platform.Table.
-func (t *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table.
+func (t *faultyTable) Get(ctx context.Context, key string) (backend.Row, error) {
 	if err := t.gate.enter(ctx, "table get"); err != nil {
-		return platform.Row{Key: key}, err
+		return backend.Row{Key: key}, err
 	}
 	return t.rows.get(key)
 }
 
-// List implements platform.Table.
-func (t *faultyTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (t *faultyTable) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	if err := t.gate.enter(ctx, "table list"); err != nil {
 		return nil, err
 	}
 	return t.rows.list(prefix), nil
 }
 
-// Commit implements platform.Table.
-func (t *faultyTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t *faultyTable) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	if err := t.gate.enter(ctx, "table commit"); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	result, err := t.rows.commit(txn)
 	if err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	return result, t.gate.reply("table commit")
 }
--- a/platform/standin/table_test.go
+++ b/backend/standin/table_test.go
@@ -15,10 +15,10 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 const tableKeys = 2
@@ -87,7 +87,7 @@
 // tableClient reads and commits through the HTTP adapter and repeats operations whose reply was lost.
 type tableClient struct {
 	id       int
-	table    platform.Table
+	table    backend.Table
 	recorder *recorder
 	// operation returns the id of try n of the commit.
 	operation func(commit, try int) string
@@ -131,12 +131,12 @@
 	})
 }
 
-func (in tableInput) txn(operation string) platform.Txn {
-	txn := platform.Txn{OpID: operation}
+func (in tableInput) txn(operation string) backend.Txn {
+	txn := backend.Txn{OpID: operation}
 	for key, version := range in.versions {
 		name := fmt.Sprintf("k%d", key)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: name, Version: version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: name, Value: []byte(in.value)})
+		txn.Conditions = append(txn.Conditions, backend.Condition{Key: name, Version: version})
+		txn.Writes = append(txn.Writes, backend.Write{Key: name, Value: []byte(in.value)})
 	}
 	return txn
 }
@@ -167,7 +167,7 @@
 	for id := range clients {
 		c := &tableClient{
 			id: id, recorder: seen, failures: failed,
-			table:     httpplatform.New(server.URL, nil, callTimeout).Table(),
+			table:     httpbackend.New(server.URL, nil, callTimeout).Table(),
 			operation: func(commit, try int) string { return operation(id, commit, try) },
 		}
 		group.Go(func() { c.run(10, rand.New(rand.NewPCG(seed, uint64(id)))) })
@@ -210,11 +210,11 @@
 func TestTransactions(t *testing.T) {
 	ctx := context.Background()
 	table := standin.NewPlatform(clockwork.NewFakeClock()).Table()
-	set := func(operation, key string, version uint64) (platform.CommitResult, error) {
-		return table.Commit(ctx, platform.Txn{
+	set := func(operation, key string, version uint64) (backend.CommitResult, error) {
+		return table.Commit(ctx, backend.Txn{
 			OpID:       operation,
-			Conditions: []platform.Condition{{Key: "a", Version: version}},
-			Writes:     []platform.Write{{Key: key, Value: []byte(operation)}},
+			Conditions: []backend.Condition{{Key: "a", Version: version}},
+			Writes:     []backend.Write{{Key: key, Value: []byte(operation)}},
 		})
 	}
 	first, err := set("first", "a", 0)
@@ -223,7 +223,7 @@
 	wantCode(t, err, fault.CodeConflict)
 	_, err = set("", "b", first.Versions["a"])
 	wantCode(t, err, fault.CodeInvalid)
-	_, err = table.Commit(ctx, platform.Txn{OpID: "delete", Writes: []platform.Write{{Key: "a", Delete: true}}})
+	_, err = table.Commit(ctx, backend.Txn{OpID: "delete", Writes: []backend.Write{{Key: "a", Delete: true}}})
 	wantCode(t, err, "")
 	again, err := set("first", "a", 0)
 	if diff := cmp.Diff(first, again); diff != "" || err != nil {
--- a/platform/standin/usage.go
+++ b/backend/standin/usage.go
@@ -6,18 +6,18 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // usageSample is one measurement.
 type usageSample struct {
 	at    time.Time
-	usage platform.Usage
+	usage backend.Usage
 }
 
-// Usage implements platform.Worker. It reports the newest measurement that is at least as old as the configured lag.
-func (w *Worker) Usage(context.Context) (platform.Usage, error) {
+// Usage implements backend.Worker. It reports the newest measurement that is at least as old as the configured lag.
+func (w *Worker) Usage(context.Context) (backend.Usage, error) {
 	w.lock()
 	defer w.unlock()
 	now := w.clock.Now()
@@ -28,7 +28,7 @@
 			return sample.usage, nil
 		}
 	}
-	return platform.Usage{}, fault.New(fault.CodeNotReady, "worker usage", "no measurement is old enough yet")
+	return backend.Usage{}, fault.New(fault.CodeNotReady, "worker usage", "no measurement is old enough yet")
 }
 
 // measure takes a measurement at each tick until the worker goes away.
@@ -47,12 +47,12 @@
 func (w *Worker) takeSample() {
 	w.lock()
 	defer w.unlock()
-	usage := platform.Usage{Worker: w.config.Worker.ID}
+	usage := backend.Usage{Worker: w.config.Worker.ID}
 	for _, a := range w.sortedAttempts() {
 		if !a.running() {
 			continue
 		}
-		task := platform.TaskUsage{
+		task := backend.TaskUsage{
 			Task: a.order.Task, Attempt: a.order.Attempt, Used: w.config.Use(a.load()), Slowdown: w.slowdown(a),
 		}
 		usage.Used = usage.Used.Add(task.Used)
--- a/platform/standin/worker.go
+++ b/backend/standin/worker.go
@@ -9,10 +9,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
-// Worker stands in for one worker. Its methods are those of platform.Worker; over HTTP the same orders also pass the
+// Worker stands in for one worker. Its methods are those of backend.Worker; over HTTP the same orders also pass the
 // faults.
 type Worker struct {
 	config    WorkerConfig
@@ -42,7 +42,7 @@
 	alarm clockwork.Timer
 }
 
-var _ platform.Worker = (*Worker)(nil)
+var _ backend.Worker = (*Worker)(nil)
 
 // NewWorker starts a worker with two listeners on 127.0.0.1: one for its control interface, which is the address in its
 // description, and one for its services' tasks.
--- a/platform/standin/workerconfig.go
+++ b/backend/standin/workerconfig.go
@@ -6,7 +6,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
-	"bronzehook/platform"
+	"bronzehook/backend"
 )
 
 // Defaults of a worker.
@@ -42,7 +42,7 @@
 	Worker api.Worker
 	Clock  clockwork.Clock
 	// Objects is where checkpoints go. Without it, checkpoints fail as if the store were down.
-	Objects platform.Objects
+	Objects backend.Objects
 	// Journal may be shared by the boots of one worker.
 	Journal *Journal
 	// Seed makes service times repeatable.
--- a/platform/standin/workerfaults_test.go
+++ b/backend/standin/workerfaults_test.go
@@ -11,10 +11,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 func (r *rig) setFaults(f standin.WorkerFaults) {
@@ -23,8 +23,8 @@
 }
 
 // impatient returns the control interface with a short timeout.
-func (r *rig) impatient() platform.Worker {
-	return httpplatform.NewWorkers(nil, shortTimeout).Worker(r.worker.Description())
+func (r *rig) impatient() backend.Worker {
+	return httpbackend.NewWorkers(nil, shortTimeout).Worker(r.worker.Description())
 }
 
 // Guards against a frozen worker that answers or refuses connections, and against orders that it forgets: what had
@@ -36,7 +36,7 @@
 	r.setFaults(standin.WorkerFaults{Frozen: true})
 	lasting, late := order("lasting", api.KindWatcher, 1), order("late", api.KindWatcher, 1)
 	late.NotAfter = time.Second
-	for _, o := range []platform.StartOrder{lasting, late} {
+	for _, o := range []backend.StartOrder{lasting, late} {
 		wantCode(t, r.impatient().Start(r.ctx, o), fault.CodeUnreachable)
 	}
 	client := &http.Client{Timeout: shortTimeout}
@@ -75,7 +75,7 @@
 	}
 	defer site.Close()
 	w := site.Worker("d-w0")
-	control := httpplatform.NewWorkers(nil, callTimeout).Worker(w.Description())
+	control := httpbackend.NewWorkers(nil, callTimeout).Worker(w.Description())
 	r := &rig{t: t, ctx: context.Background(), platform: site.Platform, worker: w, control: control}
 	before, err := control.Fence(r.ctx, testEpoch)
 	wantCode(t, err, "")
--- a/capacity/coordinator_test.go
+++ b/capacity/coordinator_test.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/standin"
 	"bronzehook/config/rollout"
 	"bronzehook/coordinator"
-	"bronzehook/platform"
-	"bronzehook/platform/standin"
 	"bronzehook/routing"
 	"bronzehook/routing/outlier"
 	"bronzehook/runner"
@@ -126,7 +126,7 @@
 			tb.Fatal(err)
 		}
 		key := "task/" + string(task.ID)
-		if _, err := table.Commit(context.Background(), platform.Txn{OpID: key, Writes: []platform.Write{{Key: key, Value: value}}}); err != nil {
+		if _, err := table.Commit(context.Background(), backend.Txn{OpID: key, Writes: []backend.Write{{Key: key, Value: value}}}); err != nil {
 			tb.Fatal(err)
 		}
 	}
--- a/capacity/directory_test.go
+++ b/capacity/directory_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"bronzehook/platform/httpplatform"
+	"bronzehook/backend/httpbackend"
 )
 
 // BenchmarkDirectory measures one reading of the directory, which every instance makes every 2 s whatever it owns.
@@ -13,7 +13,7 @@
 	for _, workers := range []int{50, 200, 810} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			var bytes meter
-			directory := httpplatform.New(startSite(b, workers), bytes.client(), 0).Directory()
+			directory := httpbackend.New(startSite(b, workers), bytes.client(), 0).Directory()
 			b.ReportAllocs()
 			start := processorTime(b)
 			for b.Loop() {
--- a/capacity/fleet_test.go
+++ b/capacity/fleet_test.go
@@ -16,11 +16,11 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/instance"
 	"bronzehook/operator"
 	"bronzehook/peer"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 const (
@@ -91,13 +91,13 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	store := httpplatform.New(f.url, n.table.client(), 0)
+	store := httpbackend.New(f.url, n.table.client(), 0)
 	f.put(tb, strings.Replace(standin.PathInstance, "{id}", string(self.ID), 1), self)
 	n.Instance = instance.New(instance.Options{
 		Self: self, Regions: regions, CallerAddr: "127.0.0.1:0", OperatorAddr: "127.0.0.1:0", PeerTLS: identity,
 		Table:   meteredTable{Table: store.Table(), reads: &n.reads, writes: &n.writes},
-		Objects: store.Objects(), Directory: httpplatform.New(f.url, n.directory.client(), 0).Directory(),
-		Workers: httpplatform.NewWorkers(n.workers.client(), 0), Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(),
+		Objects: store.Objects(), Directory: httpbackend.New(f.url, n.directory.client(), 0).Directory(),
+		Workers: httpbackend.NewWorkers(n.workers.client(), 0), Clock: clockwork.NewRealClock(), Logger: zerolog.Nop(),
 		Hold: hold, TaskLease: taskLease, StopTimeout: time.Second,
 		ListenPeer: func(string) (net.PacketConn, error) { return socket, nil },
 	})
--- a/capacity/idle_test.go
+++ b/capacity/idle_test.go
@@ -8,8 +8,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
 	"bronzehook/operator"
-	"bronzehook/platform/httpplatform"
 )
 
 // replicasPerWork is the number of tasks of each piece of work in the measured folders.
@@ -133,7 +133,7 @@
 
 // running counts the tasks that the table records as assigned.
 func (f *fleet) running(tb testing.TB) int {
-	rows, err := httpplatform.New(f.url, f.observer, 0).Table().List(tb.Context(), "task/")
+	rows, err := httpbackend.New(f.url, f.observer, 0).Table().List(tb.Context(), "task/")
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/capacity/meter_test.go
+++ b/capacity/meter_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // meter counts the TCP payload bytes, in both directions, of the connections that its client opens.
@@ -59,21 +59,21 @@
 
 // meteredTable counts the calls to a table; a List is one read.
 type meteredTable struct {
-	platform.Table
+	backend.Table
 	reads, writes *atomic.Int64
 }
 
-func (t meteredTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t meteredTable) Get(ctx context.Context, key string) (backend.Row, error) {
 	t.reads.Add(1)
 	return t.Table.Get(ctx, key)
 }
 
-func (t meteredTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t meteredTable) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	t.reads.Add(1)
 	return t.Table.List(ctx, prefix)
 }
 
-func (t meteredTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+func (t meteredTable) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	t.writes.Add(1)
 	return t.Table.Commit(ctx, txn)
 }
--- a/capacity/site_test.go
+++ b/capacity/site_test.go
@@ -11,7 +11,7 @@
 	"testing"
 
 	"bronzehook/api"
-	"bronzehook/platform/standin"
+	"bronzehook/backend/standin"
 )
 
 // siteVariable makes the test binary serve the stand-ins instead of running tests. Its value is the number of workers.
--- a/capacity/takeover_test.go
+++ b/capacity/takeover_test.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
 	"bronzehook/operator"
 	"bronzehook/ownership"
 	"bronzehook/peer"
-	"bronzehook/platform/httpplatform"
 )
 
 // takeovers is the number of instances that are lost, one in each of as many fleets.
@@ -76,7 +76,7 @@
 
 // owners returns the owner of each unit by its key, as the table holds them.
 func (f *fleet) owners(tb testing.TB) map[string]api.InstanceID {
-	rows, err := httpplatform.New(f.url, f.observer, 0).Table().List(tb.Context(), "unit/")
+	rows, err := httpbackend.New(f.url, f.observer, 0).Table().List(tb.Context(), "unit/")
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/cmd/bronzehook/dev.go
+++ b/cmd/bronzehook/dev.go
@@ -7,7 +7,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/api"
-	"bronzehook/platform/standin"
+	"bronzehook/backend/standin"
 	"bronzehook/settings"
 )
 
--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -15,10 +15,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
 	"bronzehook/fault"
 	"bronzehook/instance"
 	"bronzehook/logging"
-	"bronzehook/platform/httpplatform"
 	"bronzehook/settings"
 )
 
@@ -102,11 +102,11 @@
 }
 
 func optionsOf(s *settings.Settings, platformURL string, logger zerolog.Logger) (instance.Options, error) {
-	client := httpplatform.New(platformURL, nil, httpplatform.DefaultTimeout)
+	client := httpbackend.New(platformURL, nil, httpbackend.DefaultTimeout)
 	options := instance.Options{
 		Self: selfOf(s), Regions: s.Regions, CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr,
 		OperatorToken: s.OperatorToken, Table: client.Table(), Objects: client.Objects(), Directory: client.Directory(),
-		Workers: httpplatform.NewWorkers(nil, httpplatform.DefaultTimeout), Clock: clockwork.NewRealClock(), Logger: logger,
+		Workers: httpbackend.NewWorkers(nil, httpbackend.DefaultTimeout), Clock: clockwork.NewRealClock(), Logger: logger,
 		Hold: s.Hold, TaskLease: s.TaskLease, StopTimeout: s.StopTimeout,
 	}
 	var err error
--- a/config/rollout/load.go
+++ b/config/rollout/load.go
@@ -9,9 +9,9 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 const (
@@ -25,28 +25,28 @@
 
 // timedTable bounds the time of each call to the table.
 type timedTable struct {
-	table   platform.Table
+	table   backend.Table
 	clock   clockwork.Clock
 	timeout time.Duration
 }
 
-func (t timedTable) get(ctx context.Context, key string) (platform.Row, error) {
+func (t timedTable) get(ctx context.Context, key string) (backend.Row, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, t.clock, t.timeout)
 	defer cancel()
 	row, err := t.table.Get(ctx, key)
 	if fault.Is(err, fault.CodeNotFound) {
-		return platform.Row{Key: key}, nil
+		return backend.Row{Key: key}, nil
 	}
 	return row, err
 }
 
-func (t timedTable) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (t timedTable) list(ctx context.Context, prefix string) ([]backend.Row, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, t.clock, t.timeout)
 	defer cancel()
 	return t.table.List(ctx, prefix)
 }
 
-func (t timedTable) commit(ctx context.Context, txn platform.Txn) error {
+func (t timedTable) commit(ctx context.Context, txn backend.Txn) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, t.clock, t.timeout)
 	defer cancel()
 	_, err := t.table.Commit(ctx, txn)
@@ -88,7 +88,7 @@
 }
 
 // loadHead puts the revision of a head row, or a later one, in force. It returns the head that was loaded.
-func (s *Service) loadHead(ctx context.Context, row platform.Row) (platform.Row, error) {
+func (s *Service) loadHead(ctx context.Context, row backend.Row) (backend.Row, error) {
 	if err := acquire(ctx, s.loading); err != nil {
 		return row, err
 	}
@@ -111,7 +111,7 @@
 }
 
 // readSnapshot returns nil if the files that it read do not belong to the head.
-func (s *Service) readSnapshot(ctx context.Context, row platform.Row, complete bool) (*Snapshot, error) {
+func (s *Service) readSnapshot(ctx context.Context, row backend.Row, complete bool) (*Snapshot, error) {
 	now := s.Snapshot()
 	head := Head{Digest: emptyDigest}
 	if err := decode(row, &head); err != nil {
@@ -178,7 +178,7 @@
 	return slices.Compact(names), covered == to-from
 }
 
-func (s *Service) readRecent(ctx context.Context) (platform.Row, []recentChange, error) {
+func (s *Service) readRecent(ctx context.Context) (backend.Row, []recentChange, error) {
 	row, err := s.table.get(ctx, KeyRecent)
 	if err != nil {
 		return row, nil, err
@@ -188,8 +188,8 @@
 }
 
 // readRows reads the rows of the named files; an absent one has version 0.
-func (s *Service) readRows(ctx context.Context, names []string) ([]platform.Row, error) {
-	rows := make([]platform.Row, 0, len(names))
+func (s *Service) readRows(ctx context.Context, names []string) ([]backend.Row, error) {
+	rows := make([]backend.Row, 0, len(names))
 	for _, name := range names {
 		row, err := s.table.get(ctx, FilePrefix+name)
 		if err != nil {
@@ -202,7 +202,7 @@
 }
 
 // applyRows updates files, which it owns, from rows.
-func applyRows(files map[string]File, rows []platform.Row) (map[string]File, error) {
+func applyRows(files map[string]File, rows []backend.Row) (map[string]File, error) {
 	for _, row := range rows {
 		name := strings.TrimPrefix(row.Key, FilePrefix)
 		if row.Version == 0 {
--- a/config/rollout/load_test.go
+++ b/config/rollout/load_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"bronzehook/backend"
 	"bronzehook/config/rollout/tabletest"
 	"bronzehook/kernel"
-	"bronzehook/platform"
 )
 
 // Guards against acceptance that counts an instance without the revision, or waits for one that has lapsed.
@@ -72,7 +72,7 @@
 	hook func()
 }
 
-func (h *hookedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (h *hookedTable) Get(ctx context.Context, key string) (backend.Row, error) {
 	if hook := h.hook; key == h.key && hook != nil {
 		h.hook = nil
 		hook()
--- a/config/rollout/record.go
+++ b/config/rollout/record.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"bronzehook/backend"
 	"bronzehook/config"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 const (
@@ -25,11 +25,11 @@
 
 // recorded is the state of the table that a record starts from.
 type recorded struct {
-	headRow platform.Row
+	headRow backend.Row
 	head    Head
 	recent  []recentChange
 	// rows holds the rows of the edited files by file name.
-	rows map[string]platform.Row
+	rows map[string]backend.Row
 }
 
 // Record writes a change to the table and returns its revision. The change is recorded completely or not at all. An
@@ -146,7 +146,7 @@
 	if headRow, err = s.loadHead(ctx, headRow); err != nil {
 		return nil, asRace(err)
 	}
-	state := &recorded{headRow: headRow, rows: map[string]platform.Row{}}
+	state := &recorded{headRow: headRow, rows: map[string]backend.Row{}}
 	if err := decode(headRow, &state.head); err != nil {
 		return nil, err
 	}
@@ -166,9 +166,9 @@
 
 func (s *Service) readEdited(ctx context.Context, change Change, state *recorded) error {
 	names := change.names()
-	read := func() ([]platform.Row, error) { return s.readRows(ctx, names) }
+	read := func() ([]backend.Row, error) { return s.readRows(ctx, names) }
 	if len(names) > maxSingleReads {
-		read = func() ([]platform.Row, error) { return s.table.list(ctx, FilePrefix) }
+		read = func() ([]backend.Row, error) { return s.table.list(ctx, FilePrefix) }
 	}
 	rows, err := read()
 	if err != nil {
@@ -203,7 +203,7 @@
 	return 0, nil
 }
 
-func findConflicts(change Change, rows map[string]platform.Row) error {
+func findConflicts(change Change, rows map[string]backend.Row) error {
 	var conflicts []FileConflict
 	for _, e := range change.Edits {
 		var theirs fileRow
@@ -274,26 +274,26 @@
 
 // transaction builds the one write of a change. The condition on the head row makes changes strictly sequential; the
 // conditions on the files state the compare-and-set of each file.
-func transaction(p plan, head Head) (platform.Txn, error) {
-	txn := platform.Txn{OpID: p.change.OpID, Conditions: []platform.Condition{{Key: KeyHead, Version: p.state.headRow.Version}}}
+func transaction(p plan, head Head) (backend.Txn, error) {
+	txn := backend.Txn{OpID: p.change.OpID, Conditions: []backend.Condition{{Key: KeyHead, Version: p.state.headRow.Version}}}
 	entry := recentChange{Revision: head.Revision, OpID: p.change.OpID, Edits: p.change.digest()}
 	for _, e := range p.edits {
 		key := FilePrefix + e.File
-		write := platform.Write{Key: key, Delete: e.Delete}
+		write := backend.Write{Key: key, Delete: e.Delete}
 		if !e.Delete {
 			var err error
 			if write.Value, err = encode(key, fileRow{Revision: head.Revision, Author: head.Author, Content: e.Content}); err != nil {
 				return txn, err
 			}
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: p.state.rows[e.File].Version})
+		txn.Conditions = append(txn.Conditions, backend.Condition{Key: key, Version: p.state.rows[e.File].Version})
 		txn.Writes = append(txn.Writes, write)
 		entry.Files = append(entry.Files, e.File)
 	}
 	return addHead(txn, head, addRecent(p.state.recent, entry))
 }
 
-func addHead(txn platform.Txn, head Head, recent []recentChange) (platform.Txn, error) {
+func addHead(txn backend.Txn, head Head, recent []recentChange) (backend.Txn, error) {
 	headValue, err := encode(KeyHead, head)
 	if err != nil {
 		return txn, err
@@ -302,7 +302,7 @@
 	if err != nil {
 		return txn, err
 	}
-	txn.Writes = append(txn.Writes, platform.Write{Key: KeyHead, Value: headValue}, platform.Write{Key: KeyRecent, Value: recentValue})
+	txn.Writes = append(txn.Writes, backend.Write{Key: KeyHead, Value: headValue}, backend.Write{Key: KeyRecent, Value: recentValue})
 	return txn, nil
 }
 
--- a/config/rollout/rollout_test.go
+++ b/config/rollout/rollout_test.go
@@ -12,10 +12,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/config/rollout/tabletest"
 	"bronzehook/fault"
 	"bronzehook/kernel"
-	"bronzehook/platform"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 func (f fakeInstances) Instances() []InstanceStatus { return f }
 
-func newService(id string, table platform.Table, peers PeerSource) *Service {
+func newService(id string, table backend.Table, peers PeerSource) *Service {
 	return New(Options{Self: api.InstanceID(id), Table: table, Peers: peers, Bus: kernel.NewBus(), Logger: zerolog.Nop(),
 		PollInterval: testPoll, RecordTimeout: testRecord, TableTimeout: testRecord / 3})
 }
@@ -249,7 +249,7 @@
 // downAfterCommit goes down with the first commit.
 type downAfterCommit struct{ *tabletest.Table }
 
-func (d *downAfterCommit) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+func (d *downAfterCommit) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	defer d.SetFaults(tabletest.Faults{Down: true})
 	return d.Table.Commit(ctx, txn)
 }
--- a/config/rollout/rows.go
+++ b/config/rollout/rows.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Keys of the table.
@@ -99,7 +99,7 @@
 }
 
 // decode reads a row's value. An absent row leaves the value as it is.
-func decode(row platform.Row, value any) error {
+func decode(row backend.Row, value any) error {
 	if row.Version == 0 {
 		return nil
 	}
--- a/config/rollout/sequence_test.go
+++ b/config/rollout/sequence_test.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	"bronzehook/backend"
 	"bronzehook/config/rollout/tabletest"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // checker sees only what instances have in force and what the table committed.
@@ -44,11 +44,11 @@
 }
 
 // observeTable replays the committed transactions.
-func (c *checker) observeTable(t *rapid.T, log []platform.Txn, files map[string]File) {
+func (c *checker) observeTable(t *rapid.T, log []backend.Txn, files map[string]File) {
 	for _, txn := range log[c.logged:] {
 		var head Head
 		for _, w := range txn.Writes {
-			row := platform.Row{Key: w.Key, Value: w.Value, Version: 1}
+			row := backend.Row{Key: w.Key, Value: w.Value, Version: 1}
 			switch {
 			case w.Key == KeyHead:
 				if err := decode(row, &head); err != nil {
@@ -58,7 +58,7 @@
 				row.Version = 0
 				fallthrough
 			case w.Key != KeyRecent:
-				if _, err := applyRows(files, []platform.Row{row}); err != nil {
+				if _, err := applyRows(files, []backend.Row{row}); err != nil {
 					t.Fatal(err)
 				}
 			}
--- a/config/rollout/service.go
+++ b/config/rollout/service.go
@@ -13,10 +13,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/kernel"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 // ServiceName is the service's name in the kernel.
@@ -75,7 +75,7 @@
 // Options are the parts that a Service is built from. Peers, Instances, Regions and zero durations may be left out.
 type Options struct {
 	Self      api.InstanceID
-	Table     platform.Table
+	Table     backend.Table
 	Peers     PeerSource
 	Instances Instances
 	Bus       *kernel.Bus
--- a/config/rollout/tabletest/table.go
+++ b/config/rollout/tabletest/table.go
@@ -1,4 +1,4 @@
-// Package tabletest provides an in-memory platform.Table for tests, with the faults that the platform's table has: down,
+// Package tabletest provides an in-memory backend.Table for tests, with the faults that the platform's table has: down,
 // slow and replies that are lost after the write took effect.
 package tabletest
 
@@ -9,16 +9,16 @@
 	"sync"
 	"time"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Table is an in-memory table. Its zero value is not usable; see New.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
-	results map[string]platform.CommitResult
-	log     []platform.Txn
+	rows    map[string]backend.Row
+	results map[string]backend.CommitResult
+	log     []backend.Txn
 	faults  Faults
 	reads   int
 	commits int
@@ -35,7 +35,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+	return &Table{rows: map[string]backend.Row{}, results: map[string]backend.CommitResult{}}
 }
 
 // SetFaults replaces the faults.
@@ -49,7 +49,7 @@
 func (t *Table) ForgetOperations() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.results = map[string]platform.CommitResult{}
+	t.results = map[string]backend.CommitResult{}
 }
 
 // Counts returns the numbers of reads and commits that were asked for.
@@ -60,45 +60,45 @@
 }
 
 // Log returns the transactions that took effect, in order.
-func (t *Table) Log() []platform.Txn {
+func (t *Table) Log() []backend.Txn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.Clone(t.log)
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table.
+func (t *Table) Get(ctx context.Context, key string) (backend.Row, error) {
 	if err := t.enter(ctx, &t.reads); err != nil {
-		return platform.Row{}, err
+		return backend.Row{}, err
 	}
 	defer t.mu.Unlock()
 	row, ok := t.rows[key]
 	if !ok {
-		return platform.Row{}, fault.New(fault.CodeNotFound, "table get", "%s", key)
+		return backend.Row{}, fault.New(fault.CodeNotFound, "table get", "%s", key)
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	if err := t.enter(ctx, &t.reads); err != nil {
 		return nil, err
 	}
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []backend.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (t *Table) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	if err := t.enter(ctx, &t.commits); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	defer t.mu.Unlock()
 	if result, repeated := t.results[txn.OpID]; repeated {
@@ -106,19 +106,19 @@
 	}
 	for _, c := range txn.Conditions {
 		if t.rows[c.Key].Version != c.Version {
-			return platform.CommitResult{}, fault.New(fault.CodeConflict, "table commit", "%s has version %d", c.Key, t.rows[c.Key].Version)
+			return backend.CommitResult{}, fault.New(fault.CodeConflict, "table commit", "%s has version %d", c.Key, t.rows[c.Key].Version)
 		}
 	}
 	result := t.apply(txn)
 	if t.faults.LostReplies > 0 {
 		t.faults.LostReplies--
-		return platform.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "table commit", "reply lost")
+		return backend.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "table commit", "reply lost")
 	}
 	return result, nil
 }
 
-func (t *Table) apply(txn platform.Txn) platform.CommitResult {
-	result := platform.CommitResult{Versions: map[string]uint64{}}
+func (t *Table) apply(txn backend.Txn) backend.CommitResult {
+	result := backend.CommitResult{Versions: map[string]uint64{}}
 	for _, w := range txn.Writes {
 		if w.Delete {
 			delete(t.rows, w.Key)
@@ -126,7 +126,7 @@
 			continue
 		}
 		version := t.rows[w.Key].Version + 1
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version, OpID: txn.OpID}
+		t.rows[w.Key] = backend.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version, OpID: txn.OpID}
 		result.Versions[w.Key] = version
 	}
 	t.results[txn.OpID] = result
--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -4,15 +4,15 @@
 	"context"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
-	"bronzehook/platform"
 	"bronzehook/runner"
 )
 
 // batch is a transaction under way and the tasks that it writes.
 type batch struct {
-	txn     platform.Txn
+	txn     backend.Txn
 	tasks   []*task
 	rows    []*api.Task
 	deletes []bool
@@ -34,9 +34,9 @@
 
 // collect builds a transaction from up to maxBatch tasks.
 func (c *Coordinator) collect(t *term) *batch {
-	b := &batch{txn: platform.Txn{
+	b := &batch{txn: backend.Txn{
 		OpID:       c.options.NewOpID(),
-		Conditions: []platform.Condition{{Key: api.Coordinator.Key(), Version: t.unitVersion}},
+		Conditions: []backend.Condition{{Key: api.Coordinator.Key(), Version: t.unitVersion}},
 	}}
 	for id, known := range t.tasks {
 		if len(b.tasks) == maxBatch {
@@ -56,7 +56,7 @@
 }
 
 func (b *batch) add(c *Coordinator, id api.TaskID, known *task, remove bool) {
-	write := platform.Write{Key: taskKey(id), Delete: remove}
+	write := backend.Write{Key: taskKey(id), Delete: remove}
 	if !remove {
 		value, err := encodeTask(*known.next)
 		if err != nil {
@@ -66,7 +66,7 @@
 		write.Value = value
 	}
 	known.inFlight = true
-	b.txn.Conditions = append(b.txn.Conditions, platform.Condition{Key: taskKey(id), Version: known.version})
+	b.txn.Conditions = append(b.txn.Conditions, backend.Condition{Key: taskKey(id), Version: known.version})
 	b.txn.Writes = append(b.txn.Writes, write)
 	b.tasks = append(b.tasks, known)
 	b.rows = append(b.rows, known.next)
@@ -105,7 +105,7 @@
 }
 
 // committed takes over the written rows and hands new assignments to the owners of their racks.
-func (c *Coordinator) committed(t *term, b *batch, result platform.CommitResult) {
+func (c *Coordinator) committed(t *term, b *batch, result backend.CommitResult) {
 	t.changed = true
 	now := c.options.Clock.Now()
 	for i, known := range b.tasks {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -13,8 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/logging"
-	"bronzehook/platform"
 	"bronzehook/runner"
 )
 
@@ -87,8 +87,8 @@
 	Self    api.InstanceID
 	Clock   clockwork.Clock
 	Loop    runner.Loop
-	Table   platform.Table
-	Objects platform.Objects
+	Table   backend.Table
+	Objects backend.Objects
 	Cluster Cluster
 	Sender  Sender
 	Logger  zerolog.Logger
@@ -234,7 +234,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 		defer cancel()
 		version, err := c.options.Cluster.UnitVersion(ctx, api.Coordinator, t.epoch)
-		var rows []platform.Row
+		var rows []backend.Row
 		if err == nil {
 			rows, err = c.options.Table.List(ctx, taskPrefix)
 		}
@@ -255,7 +255,7 @@
 	}()
 }
 
-func (c *Coordinator) loadRows(t *term, unitVersion uint64, rows []platform.Row) {
+func (c *Coordinator) loadRows(t *term, unitVersion uint64, rows []backend.Row) {
 	now := c.options.Clock.Now()
 	for _, row := range rows {
 		record, err := decodeTask(row.Value)
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -11,10 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/config/rollout/tabletest"
 	"bronzehook/control"
 	"bronzehook/fault"
-	"bronzehook/platform"
 	"bronzehook/runner"
 )
 
@@ -53,9 +53,9 @@
 func (h *harness) setUnit(t *testing.T, version uint64, value string) {
 	t.Helper()
 	key := api.Coordinator.Key()
-	txn := platform.Txn{
-		OpID: key + value, Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes: []platform.Write{{Key: key, Value: []byte(value)}},
+	txn := backend.Txn{
+		OpID: key + value, Conditions: []backend.Condition{{Key: key, Version: version}},
+		Writes: []backend.Write{{Key: key, Value: []byte(value)}},
 	}
 	if _, err := h.table.Commit(t.Context(), txn); err != nil {
 		t.Fatal(err)
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -15,8 +15,8 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // ServiceName is the service's name in the kernel.
@@ -42,7 +42,7 @@
 
 // Options are the parts that a Service is built from.
 type Options struct {
-	Table  platform.Table
+	Table  backend.Table
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
 	// NewOpID returns a fresh operation id.
@@ -113,18 +113,18 @@
 	if err != nil {
 		return errors.Wrap(err, "encode drain")
 	}
-	return s.write(ctx, platform.Write{Key: Prefix + string(record.Worker), Value: value})
+	return s.write(ctx, backend.Write{Key: Prefix + string(record.Worker), Value: value})
 }
 
 // Undrain removes the drain of a worker.
 func (s *Service) Undrain(ctx context.Context, worker api.WorkerID) error {
-	return s.write(ctx, platform.Write{Key: Prefix + string(worker), Delete: true})
+	return s.write(ctx, backend.Write{Key: Prefix + string(worker), Delete: true})
 }
 
 // write commits one unconditional write; the last operator wins, as both are in the audit trail. The operation id makes
 // the second try of a write whose reply was lost harmless.
-func (s *Service) write(ctx context.Context, write platform.Write) error {
-	txn := platform.Txn{OpID: s.options.NewOpID(), Writes: []platform.Write{write}}
+func (s *Service) write(ctx context.Context, write backend.Write) error {
+	txn := backend.Txn{OpID: s.options.NewOpID(), Writes: []backend.Write{write}}
 	_, err := s.options.Table.Commit(ctx, txn)
 	if fault.Is(err, fault.CodeStoreUnavailable) {
 		_, err = s.options.Table.Commit(ctx, txn)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform/standin"
 )
 
 func newService(t *testing.T, p *standin.Platform) *Service {
--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bronzehook/api"
-	"bronzehook/platform"
-	"bronzehook/platform/standin"
+	"bronzehook/backend"
+	"bronzehook/backend/standin"
 )
 
 // Guards against a change that takes longer than 9 s from recording to acceptance, and shows the load on the table at
@@ -170,7 +170,7 @@
 	l := f.startLoad("shop", ownRegion)
 	from := time.Now()
 	f.site.Platform.Directory().SetFaults(standin.DirectoryFaults{
-		Omit: []string{"savanna-1"}, Add: []platform.Entry{{Kind: platform.EntryInstance, Instance: &ghost}},
+		Omit: []string{"savanna-1"}, Add: []backend.Entry{{Kind: backend.EntryInstance, Instance: &ghost}},
 	})
 	f.during(8*time.Second, "all stay ready with the units they had", func() bool {
 		return f.allReady() && sameOwners(units, f.nodes[kingston].owners.View().Units)
--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -16,11 +16,11 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/standin"
 	"bronzehook/config/rollout"
 	"bronzehook/operator"
 	"bronzehook/peer"
-	"bronzehook/platform/httpplatform"
-	"bronzehook/platform/standin"
 )
 
 // Settings of a test fleet. Heartbeats and renewals keep their fixed periods of 1 s and 2 s, and a Hold of 1 s would end
@@ -115,7 +115,7 @@
 	n.Instance = New(Options{
 		Self: n.self, Regions: []string{"cornwall", "surrey"}, CallerAddr: "127.0.0.1:0", OperatorAddr: "127.0.0.1:0",
 		PeerTLS: tls, Table: n.table, Objects: f.site.Platform.Objects(), Directory: n.directory,
-		Workers: httpplatform.NewWorkers(nil, httpplatform.DefaultTimeout), Clock: clockwork.NewRealClock(),
+		Workers: httpbackend.NewWorkers(nil, httpbackend.DefaultTimeout), Clock: clockwork.NewRealClock(),
 		Logger: testLogger(n.self.ID), Hold: testHold, TaskLease: testTaskLease, StopTimeout: stopWithin,
 		ListenPeer: func(string) (net.PacketConn, error) { return conn, nil },
 	})
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -20,6 +20,7 @@
 	"bronzehook/api"
 	"bronzehook/audit"
 	"bronzehook/authority"
+	"bronzehook/backend"
 	"bronzehook/config/rollout"
 	"bronzehook/control"
 	"bronzehook/coordinator"
@@ -32,7 +33,6 @@
 	"bronzehook/operator"
 	"bronzehook/ownership"
 	"bronzehook/peer"
-	"bronzehook/platform"
 	"bronzehook/routing"
 	"bronzehook/routing/outlier"
 	"bronzehook/runner"
@@ -54,10 +54,10 @@
 	// CallerTokens names callers by their bearer tokens; nil means that their team header is believed.
 	CallerTokens map[string]gateway.Caller
 
-	Table     platform.Table
-	Objects   platform.Objects
-	Directory platform.Directory
-	Workers   platform.Workers
+	Table     backend.Table
+	Objects   backend.Objects
+	Directory backend.Directory
+	Workers   backend.Workers
 
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
--- a/instance/store.go
+++ b/instance/store.go
@@ -8,16 +8,16 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // storeBuckets are the upper bounds of the table's latency histogram in seconds.
 var storeBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
 
-// storeMonitor is a platform.Table that measures the calls to another one and knows whether it answers.
+// storeMonitor is a backend.Table that measures the calls to another one and knows whether it answers.
 type storeMonitor struct {
-	table   platform.Table
+	table   backend.Table
 	clock   clockwork.Clock
 	latency *prometheus.HistogramVec
 	// lastAnswer is the wall-clock time of the last answer in nanoseconds; 0 if there was none.
@@ -25,7 +25,7 @@
 	failure    atomic.Pointer[string]
 }
 
-func newStoreMonitor(table platform.Table, clock clockwork.Clock, registry prometheus.Registerer) *storeMonitor {
+func newStoreMonitor(table backend.Table, clock clockwork.Clock, registry prometheus.Registerer) *storeMonitor {
 	m := &storeMonitor{table: table, clock: clock, latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "bronzehook_store_seconds", Help: "Time of calls to the platform's table.", Buckets: storeBuckets,
 	}, []string{"op", "result"})}
@@ -33,24 +33,24 @@
 	return m
 }
 
-// Get implements platform.Table.
-func (m *storeMonitor) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table.
+func (m *storeMonitor) Get(ctx context.Context, key string) (backend.Row, error) {
 	begun := m.clock.Now()
 	row, err := m.table.Get(ctx, key)
 	m.observe("get", begun, err)
 	return row, err
 }
 
-// List implements platform.Table.
-func (m *storeMonitor) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (m *storeMonitor) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	begun := m.clock.Now()
 	rows, err := m.table.List(ctx, prefix)
 	m.observe("list", begun, err)
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (m *storeMonitor) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (m *storeMonitor) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	begun := m.clock.Now()
 	result, err := m.table.Commit(ctx, txn)
 	m.observe("commit", begun, err)
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -12,11 +12,11 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"bronzehook/api"
+	"bronzehook/backend"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
 	"bronzehook/ownership"
 	"bronzehook/peer"
-	"bronzehook/platform"
-	"bronzehook/platform/standin"
 )
 
 // Rule names an invariant.
@@ -75,7 +75,7 @@
 }
 
 // Tasks returns the task rows of a table.
-func Tasks(ctx context.Context, table platform.Table) (map[api.TaskID]api.Task, error) {
+func Tasks(ctx context.Context, table backend.Table) (map[api.TaskID]api.Task, error) {
 	rows, err := table.List(ctx, "task/")
 	if err != nil {
 		return nil, errors.Wrap(err, "list tasks")
@@ -92,7 +92,7 @@
 }
 
 // Owner returns the row of a unit.
-func Owner(ctx context.Context, table platform.Table, unit api.Unit) (ownership.Row, error) {
+func Owner(ctx context.Context, table backend.Table, unit api.Unit) (ownership.Row, error) {
 	var value ownership.Row
 	row, err := table.Get(ctx, unit.Key())
 	if err != nil {
@@ -138,7 +138,7 @@
 }
 
 // epochs checks that no attempt was started by an owner that had been fenced, and that each epoch was recorded.
-func (c *checker) epochs(ctx context.Context, table platform.Table, w api.Worker, runs []standin.Run) error {
+func (c *checker) epochs(ctx context.Context, table backend.Table, w api.Worker, runs []standin.Run) error {
 	if len(runs) == 0 {
 		return nil
 	}
--- a/invariant/invariant_test.go
+++ b/invariant/invariant_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"bronzehook/api"
-	"bronzehook/platform/standin"
+	"bronzehook/backend/standin"
 )
 
 // Guards against a checker that overlooks what it is there for.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -15,9 +15,9 @@
 
 	"bronzehook/api"
 	"bronzehook/authority"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // ServiceName is the name of the service in the kernel.
@@ -51,8 +51,8 @@
 	Self      api.Instance
 	Rule      authority.Rule
 	Clock     clockwork.Clock
-	Table     platform.Table
-	Directory platform.Directory
+	Table     backend.Table
+	Directory backend.Directory
 	Messenger Messenger
 	// Revision returns the configuration revision in force on this instance. It may be nil.
 	Revision func() uint64
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -12,10 +12,10 @@
 
 	"bronzehook/api"
 	"bronzehook/authority"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/membership/platformfake"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 var testRule = authority.Rule{Hold: authority.DefaultHold}
@@ -76,7 +76,7 @@
 	}
 	for i := range n {
 		self := instance(i)
-		f.directory.Entries = append(f.directory.Entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
+		f.directory.Entries = append(f.directory.Entries, backend.Entry{Kind: backend.EntryInstance, Instance: &self})
 		f.start(self, 1)
 	}
 	return f
@@ -243,7 +243,7 @@
 		self.Addr = transport.Addr()
 		s := New(Config{Self: self, Rule: testRule, Clock: clockwork.NewRealClock(), Table: platformfake.NewTable(), Directory: directory,
 			Messenger: transport, Revision: func() uint64 { return 1 << 20 }, EndpointVersion: func() uint64 { return 1 << 20 }, Log: zerolog.Nop()})
-		directory.Entries = append(directory.Entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
+		directory.Entries = append(directory.Entries, backend.Entry{Kind: backend.EntryInstance, Instance: &self})
 		services = append(services, s)
 		t.Cleanup(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/membership/platformfake/fake.go
+++ b/membership/platformfake/fake.go
@@ -7,15 +7,15 @@
 	"strings"
 	"sync"
 
+	"bronzehook/backend"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // Table is a table in memory with faults. Its fields are changed only between calls.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
-	results map[string]platform.CommitResult
+	rows    map[string]backend.Row
+	results map[string]backend.CommitResult
 	// Down refuses all calls.
 	Down bool
 	// LoseReplies is the number of commits that take effect without an answer.
@@ -26,25 +26,25 @@
 	// Replayed counts the commits that were answered with the result of an earlier commit of the same operation.
 	Replayed int
 	// OnWrite sees each row that is written, in order. It may be nil.
-	OnWrite func(row platform.Row)
+	OnWrite func(row backend.Row)
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}, results: map[string]platform.CommitResult{}}
+	return &Table{rows: map[string]backend.Row{}, results: map[string]backend.CommitResult{}}
 }
 
 func (f *Table) unavailable() error {
 	return fault.New(fault.CodeStoreUnavailable, "fake table", "down or reply lost")
 }
 
-// Get implements platform.Table.
-func (f *Table) Get(_ context.Context, key string) (platform.Row, error) {
+// Get implements backend.Table.
+func (f *Table) Get(_ context.Context, key string) (backend.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Reads++
 	if f.Down {
-		return platform.Row{}, f.unavailable()
+		return backend.Row{}, f.unavailable()
 	}
 	row, ok := f.rows[key]
 	if !ok {
@@ -53,31 +53,31 @@
 	return row, nil
 }
 
-// List implements platform.Table.
-func (f *Table) List(_ context.Context, prefix string) ([]platform.Row, error) {
+// List implements backend.Table.
+func (f *Table) List(_ context.Context, prefix string) ([]backend.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Reads++
 	if f.Down {
 		return nil, f.unavailable()
 	}
-	var rows []platform.Row
+	var rows []backend.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (f *Table) Commit(_ context.Context, txn platform.Txn) (platform.CommitResult, error) {
+// Commit implements backend.Table.
+func (f *Table) Commit(_ context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.Commits++
 	if f.Down {
-		return platform.CommitResult{}, f.unavailable()
+		return backend.CommitResult{}, f.unavailable()
 	}
 	if result, ok := f.results[txn.OpID]; ok {
 		f.Replayed++
@@ -85,13 +85,13 @@
 	}
 	for _, c := range txn.Conditions {
 		if f.rows[c.Key].Version != c.Version {
-			return platform.CommitResult{}, fault.New(fault.CodeConflict, "fake table", "%s", c.Key)
+			return backend.CommitResult{}, fault.New(fault.CodeConflict, "fake table", "%s", c.Key)
 		}
 	}
-	result := platform.CommitResult{Versions: map[string]uint64{}}
+	result := backend.CommitResult{Versions: map[string]uint64{}}
 	for _, w := range txn.Writes {
 		version := f.rows[w.Key].Version + 1
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: version, OpID: txn.OpID}
+		f.rows[w.Key] = backend.Row{Key: w.Key, Value: w.Value, Version: version, OpID: txn.OpID}
 		result.Versions[w.Key] = version
 		if f.OnWrite != nil {
 			f.OnWrite(f.rows[w.Key])
@@ -104,7 +104,7 @@
 	f.results[txn.OpID] = result
 	if f.LoseReplies > 0 {
 		f.LoseReplies--
-		return platform.CommitResult{}, f.unavailable()
+		return backend.CommitResult{}, f.unavailable()
 	}
 	return result, nil
 }
@@ -112,11 +112,11 @@
 // Directory lists what the test says.
 type Directory struct {
 	mu      sync.Mutex
-	Entries []platform.Entry
+	Entries []backend.Entry
 }
 
-// List implements platform.Directory.
-func (f *Directory) List(context.Context) ([]platform.Entry, error) {
+// List implements backend.Directory.
+func (f *Directory) List(context.Context) ([]backend.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.Entries), nil
--- a/membership/session.go
+++ b/membership/session.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // SessionPrefix begins the keys of session rows.
@@ -40,7 +40,7 @@
 // was lost is recognised.
 type pendingRenewal struct {
 	start time.Duration
-	txn   platform.Txn
+	txn   backend.Txn
 }
 
 // renew writes the session row once, and once more if the answer was for a write that began too long ago.
@@ -100,7 +100,7 @@
 		return err
 	}
 	if err != nil {
-		row = platform.Row{}
+		row = backend.Row{}
 	}
 	if s.row.version > 0 && row.Version > 0 && s.supersedes(row) {
 		return fault.New(fault.CodeConflict, "renew session", "another process uses the ID of this instance")
@@ -110,7 +110,7 @@
 	return nil
 }
 
-func (s *Service) supersedes(row platform.Row) bool {
+func (s *Service) supersedes(row backend.Row) bool {
 	var value SessionRow
 	if peer.Decode(row.Value, &value) == nil && value.Session == s.session {
 		return false
@@ -132,16 +132,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pendingRenewal{start: s.Now(), txn: s.sessionTxn(platform.Write{Value: data})}, nil
+	return &pendingRenewal{start: s.Now(), txn: s.sessionTxn(backend.Write{Value: data})}, nil
 }
 
-func (s *Service) sessionTxn(write platform.Write) platform.Txn {
+func (s *Service) sessionTxn(write backend.Write) backend.Txn {
 	s.row.ops++
 	write.Key = SessionKey(s.config.Self.ID)
-	return platform.Txn{
+	return backend.Txn{
 		OpID:       fmt.Sprintf("%s/%x/session/%d", s.config.Self.ID, s.session, s.row.ops),
-		Conditions: []platform.Condition{{Key: write.Key, Version: s.row.version}},
-		Writes:     []platform.Write{write},
+		Conditions: []backend.Condition{{Key: write.Key, Version: s.row.version}},
+		Writes:     []backend.Write{write},
 	}
 }
 
@@ -163,7 +163,7 @@
 	if s.row.version == 0 {
 		return nil
 	}
-	_, err := s.config.Table.Commit(ctx, s.sessionTxn(platform.Write{Delete: true}))
+	_, err := s.config.Table.Commit(ctx, s.sessionTxn(backend.Write{Delete: true}))
 	return err
 }
 
@@ -205,7 +205,7 @@
 	s.publish()
 }
 
-func (s *Service) sessionSeen(id api.InstanceID, row platform.Row, start, end time.Duration) {
+func (s *Service) sessionSeen(id api.InstanceID, row backend.Row, start, end time.Duration) {
 	var value SessionRow
 	if id == s.config.Self.ID || peer.Decode(row.Value, &value) != nil {
 		return
@@ -233,7 +233,7 @@
 	s.publish()
 }
 
-func (s *Service) takeDirectory(entries []platform.Entry, now time.Duration) {
+func (s *Service) takeDirectory(entries []backend.Entry, now time.Duration) {
 	listed := map[api.InstanceID]api.Instance{}
 	workers := []api.Worker{}
 	// Regions of known instances stay in, so that a region that lost its last instance gets an empty list.
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -7,10 +7,10 @@
 	"strings"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/membership"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // maxClaims is the number of units in one transaction.
@@ -28,7 +28,7 @@
 // batch is a transaction without a definite answer. It is repeated with its operation ID.
 type batch struct {
 	changes []change
-	txn     platform.Txn
+	txn     backend.Txn
 }
 
 // claimDue claims the free units that are assigned to this instance and renews deputies.
@@ -192,9 +192,9 @@
 	return s.settlePending(ctx)
 }
 
-func (s *Service) transaction(changes []change) (platform.Txn, error) {
+func (s *Service) transaction(changes []change) (backend.Txn, error) {
 	s.ops++
-	txn := platform.Txn{OpID: fmt.Sprintf("%s/%x/unit/%d", s.config.Self.ID, s.config.Members.Session(), s.ops)}
+	txn := backend.Txn{OpID: fmt.Sprintf("%s/%x/unit/%d", s.config.Self.ID, s.config.Members.Session(), s.ops)}
 	sessions := map[api.InstanceID]bool{}
 	for _, c := range changes {
 		data, err := peer.Encode(c.row)
@@ -202,15 +202,15 @@
 			return txn, err
 		}
 		key := c.unit.Key()
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: s.rows[c.unit].version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: data})
+		txn.Conditions = append(txn.Conditions, backend.Condition{Key: key, Version: s.rows[c.unit].version})
+		txn.Writes = append(txn.Writes, backend.Write{Key: key, Value: data})
 		if c.session != "" && !sessions[c.session] {
 			sessions[c.session] = true
-			condition := platform.Condition{Key: membership.SessionKey(c.session), Version: c.sessionVersion}
+			condition := backend.Condition{Key: membership.SessionKey(c.session), Version: c.sessionVersion}
 			txn.Conditions = append(txn.Conditions, condition)
 		}
 	}
-	txn.Writes = append(txn.Writes, platform.Write{Key: versionKey, Value: []byte(txn.OpID)})
+	txn.Writes = append(txn.Writes, backend.Write{Key: versionKey, Value: []byte(txn.OpID)})
 	return txn, nil
 }
 
--- a/ownership/fleet_test.go
+++ b/ownership/fleet_test.go
@@ -9,11 +9,11 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/membership"
 	"bronzehook/membership/platformfake"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // fakeMembers is the membership of one instance as the test states it.
@@ -52,7 +52,7 @@
 
 func newFleet(n, racks int) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), table: platformfake.NewTable(), history: map[string][]Row{}, rowVersions: map[api.InstanceID]uint64{}}
-	f.table.OnWrite = func(row platform.Row) {
+	f.table.OnWrite = func(row backend.Row) {
 		var value Row
 		if _, ok := parseKey(row.Key); ok && peer.Decode(row.Value, &value) == nil {
 			f.history[row.Key] = append(f.history[row.Key], value)
@@ -98,7 +98,7 @@
 // renew writes the session row, which anchors the term.
 func (f *fleet) renew(n *node) {
 	key := membership.SessionKey(n.self.ID)
-	txn := platform.Txn{OpID: fmt.Sprint(n.self.ID, n.members.session, f.table.Commits), Writes: []platform.Write{{Key: key}}}
+	txn := backend.Txn{OpID: fmt.Sprint(n.self.ID, n.members.session, f.table.Commits), Writes: []backend.Write{{Key: key}}}
 	result, err := f.table.Commit(context.Background(), txn)
 	if err != nil {
 		return
@@ -204,23 +204,23 @@
 	return nil
 }
 
-func (g *gatedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (g *gatedTable) Get(ctx context.Context, key string) (backend.Row, error) {
 	if err := g.refuse(); err != nil {
-		return platform.Row{}, err
+		return backend.Row{}, err
 	}
 	return g.Table.Get(ctx, key)
 }
 
-func (g *gatedTable) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (g *gatedTable) List(ctx context.Context, prefix string) ([]backend.Row, error) {
 	if err := g.refuse(); err != nil {
 		return nil, err
 	}
 	return g.Table.List(ctx, prefix)
 }
 
-func (g *gatedTable) Commit(ctx context.Context, txn platform.Txn) (platform.CommitResult, error) {
+func (g *gatedTable) Commit(ctx context.Context, txn backend.Txn) (backend.CommitResult, error) {
 	if err := g.refuse(); err != nil {
-		return platform.CommitResult{}, err
+		return backend.CommitResult{}, err
 	}
 	return g.Table.Commit(ctx, txn)
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -12,11 +12,11 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
 	"bronzehook/membership"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // ServiceName is the name of the service in the kernel.
@@ -54,7 +54,7 @@
 type Config struct {
 	Self    api.Instance
 	Clock   clockwork.Clock
-	Table   platform.Table
+	Table   backend.Table
 	Members Members
 	// Messenger tells a successor of a hand-over at once; without it (nil) the successor finds out by polling.
 	Messenger Messenger
@@ -280,7 +280,7 @@
 	return nil
 }
 
-func (s *Service) takeRows(rows []platform.Row) {
+func (s *Service) takeRows(rows []backend.Row) {
 	s.rows = make(map[api.Unit]versionedRow, len(rows))
 	for _, row := range rows {
 		unit, ok := parseKey(row.Key)
--- a/ownership/takeover_test.go
+++ b/ownership/takeover_test.go
@@ -13,10 +13,10 @@
 
 	"bronzehook/api"
 	"bronzehook/authority"
+	"bronzehook/backend"
 	"bronzehook/membership"
 	"bronzehook/membership/platformfake"
 	"bronzehook/peer"
-	"bronzehook/platform"
 )
 
 // liveNode is an instance with real transport, membership and ownership.
@@ -27,7 +27,7 @@
 	self      api.Instance
 }
 
-func startLive(t *testing.T, dev *peer.DevAuthority, i int, table platform.Table, directory platform.Directory) *liveNode {
+func startLive(t *testing.T, dev *peer.DevAuthority, i int, table backend.Table, directory backend.Directory) *liveNode {
 	t.Helper()
 	n := &liveNode{self: api.Instance{ID: api.InstanceID(fmt.Sprint("i", i)), Addr: "127.0.0.1:0", Location: api.Location{Region: "cairo", DataCentre: "cairo-nasr"}}}
 	conf, err := dev.TLS(n.self.ID)
@@ -74,7 +74,7 @@
 	nodes := []*liveNode{startLive(t, dev, 0, gate, directory), startLive(t, dev, 1, table, directory), startLive(t, dev, 2, table, directory)}
 	for _, n := range nodes {
 		self := n.self
-		directory.Entries = append(directory.Entries, platform.Entry{Kind: platform.EntryInstance, Instance: &self})
+		directory.Entries = append(directory.Entries, backend.Entry{Kind: backend.EntryInstance, Instance: &self})
 	}
 	for _, n := range nodes {
 		// Instances in the field do not tick in step.
--- a/runner/fake_test.go
+++ b/runner/fake_test.go
@@ -10,10 +10,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/control"
 	"bronzehook/dispatch"
 	"bronzehook/fault"
-	"bronzehook/platform"
 )
 
 // fakeWorker is a worker in memory. Tests run it inside a synctest bubble, so its clock is the bubble's.
@@ -22,10 +22,10 @@
 	info        api.Worker
 	booted      time.Time
 	epoch       api.Epoch
-	tasks       map[api.TaskID]platform.TaskStatus
+	tasks       map[api.TaskID]backend.TaskStatus
 	lastAttempt map[api.TaskID]uint64
 	leaseEnds   map[api.TaskID]time.Duration
-	starts      []platform.StartOrder
+	starts      []backend.StartOrder
 	renewals    int
 	older       int
 	unreachable bool
@@ -39,7 +39,7 @@
 			ID: api.WorkerID(id), Location: api.Location{Region: "cornwall", DataCentre: "montego", Rack: "r1"},
 			Capacity: api.Resources{MilliCPU: 4000, MemoryMB: 4096}, Slots: 8, Connections: 64,
 		},
-		boot: "1", booted: time.Now(), tasks: map[api.TaskID]platform.TaskStatus{}, lastAttempt: map[api.TaskID]uint64{},
+		boot: "1", booted: time.Now(), tasks: map[api.TaskID]backend.TaskStatus{}, lastAttempt: map[api.TaskID]uint64{},
 		leaseEnds: map[api.TaskID]time.Duration{},
 	}
 }
@@ -59,8 +59,8 @@
 
 func (w *fakeWorker) clock() time.Duration { return time.Since(w.booted) }
 
-func (w *fakeWorker) inventory() platform.Inventory {
-	inventory := platform.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: w.boot, Leaving: w.info.Leaving,
+func (w *fakeWorker) inventory() backend.Inventory {
+	inventory := backend.Inventory{Worker: w.info, Epoch: w.epoch, Clock: w.clock(), Boot: w.boot, Leaving: w.info.Leaving,
 		OlderRequests: w.older,
 	}
 	for id, status := range w.tasks {
@@ -74,25 +74,25 @@
 	return inventory
 }
 
-func (w *fakeWorker) Fence(_ context.Context, epoch api.Epoch) (platform.Inventory, error) {
+func (w *fakeWorker) Fence(_ context.Context, epoch api.Epoch) (backend.Inventory, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(epoch); err != nil {
-		return platform.Inventory{}, err
+		return backend.Inventory{}, err
 	}
 	return w.inventory(), nil
 }
 
-func (w *fakeWorker) Inventory(context.Context) (platform.Inventory, error) {
+func (w *fakeWorker) Inventory(context.Context) (backend.Inventory, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.unreachable {
-		return platform.Inventory{}, errUnreachable
+		return backend.Inventory{}, errUnreachable
 	}
 	return w.inventory(), nil
 }
 
-func (w *fakeWorker) Start(_ context.Context, order platform.StartOrder) error {
+func (w *fakeWorker) Start(_ context.Context, order backend.StartOrder) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(order.Epoch); err != nil {
@@ -104,7 +104,7 @@
 	w.lastAttempt[order.Task] = order.Attempt
 	w.starts = append(w.starts, order)
 	w.leaseEnds[order.Task] = order.LeaseEnd
-	w.tasks[order.Task] = platform.TaskStatus{
+	w.tasks[order.Task] = backend.TaskStatus{
 		Task: order.Task, Work: order.Work, Kind: order.Kind, Attempt: order.Attempt, State: api.SeenRunning,
 		Resources: order.Resources, Addr: "127.0.0.1:1",
 	}
@@ -114,7 +114,7 @@
 	return nil
 }
 
-func (w *fakeWorker) Renew(_ context.Context, epoch api.Epoch, refs []platform.TaskRef, end time.Duration) error {
+func (w *fakeWorker) Renew(_ context.Context, epoch api.Epoch, refs []backend.TaskRef, end time.Duration) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(epoch); err != nil {
@@ -127,13 +127,13 @@
 	return nil
 }
 
-func (w *fakeWorker) Throttle(context.Context, platform.TaskRef, float64) error { return nil }
+func (w *fakeWorker) Throttle(context.Context, backend.TaskRef, float64) error { return nil }
 
-func (w *fakeWorker) Checkpoint(_ context.Context, ref platform.TaskRef) (string, error) {
+func (w *fakeWorker) Checkpoint(_ context.Context, ref backend.TaskRef) (string, error) {
 	return "checkpoint/" + string(ref.Task), nil
 }
 
-func (w *fakeWorker) Stop(_ context.Context, ref platform.TaskRef) error {
+func (w *fakeWorker) Stop(_ context.Context, ref backend.TaskRef) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(ref.Epoch); err != nil {
@@ -145,14 +145,14 @@
 	return nil
 }
 
-func (w *fakeWorker) Ack(_ context.Context, ref platform.TaskRef) error {
+func (w *fakeWorker) Ack(_ context.Context, ref backend.TaskRef) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.tasks, ref.Task)
 	return nil
 }
 
-func (w *fakeWorker) Usage(context.Context) (platform.Usage, error) { return platform.Usage{}, nil }
+func (w *fakeWorker) Usage(context.Context) (backend.Usage, error) { return backend.Usage{}, nil }
 
 // state returns the state of a task on the worker; listed is false if the worker has forgotten it.
 func (w *fakeWorker) state(task api.TaskID) (state api.SeenState, listed bool) {
@@ -218,7 +218,7 @@
 	return h
 }
 
-func (h *harness) Worker(api.Worker) platform.Worker { return h.worker }
+func (h *harness) Worker(api.Worker) backend.Worker { return h.worker }
 
 func (h *harness) Check(api.Unit) (api.Epoch, error) {
 	h.mu.Lock()
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -4,9 +4,9 @@
 	"context"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 // Apply carries out orders of the coordinator and returns reports on assignments that are refused and on attempts that
@@ -78,13 +78,13 @@
 
 func (r *Runner) start(owned *rack, w *worker, assignment Assignment) {
 	clock := w.estimate(r.options.Clock.Now())
-	order := platform.StartOrder{
+	order := backend.StartOrder{
 		Task: assignment.Task, Work: assignment.Work, Kind: assignment.Kind, Attempt: assignment.Attempt,
 		Epoch: owned.epoch, Resources: assignment.Resources, Command: assignment.Command,
 		Checkpoint: assignment.Checkpoint, LeaseEnd: clock + r.options.Lease, NotAfter: clock + OrderValidity,
 	}
 	started := &attempt{
-		status: platform.TaskStatus{
+		status: backend.TaskStatus{
 			Task: order.Task, Work: order.Work, Kind: order.Kind, Attempt: order.Attempt,
 			State: api.SeenStarting, Resources: order.Resources, Checkpoint: order.Checkpoint,
 		},
@@ -166,7 +166,7 @@
 	if a == nil || a.status.Attempt != intervention.Attempt || a.status.State.Ended() || a.stopping {
 		return
 	}
-	ref := platform.TaskRef{Task: intervention.Task, Attempt: intervention.Attempt, Epoch: owned.epoch}
+	ref := backend.TaskRef{Task: intervention.Task, Attempt: intervention.Attempt, Epoch: owned.epoch}
 	ends := intervention.Action == ActionEvict || intervention.Action == ActionStop
 	if ends {
 		a.stopping = true
@@ -184,7 +184,7 @@
 }
 
 // carryOut makes the calls of an intervention, outside the control goroutine.
-func (r *Runner) carryOut(owned *rack, w *worker, ref platform.TaskRef, in Intervention, kind api.Kind) (string, error) {
+func (r *Runner) carryOut(owned *rack, w *worker, ref backend.TaskRef, in Intervention, kind api.Kind) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), DrainTime+2*callTimeout)
 	defer cancel()
 	if _, err := r.options.Ownership.Check(owned.unit); err != nil {
@@ -207,7 +207,7 @@
 }
 
 // stopDrained stops an attempt. An endpoint's requests in flight are given time to finish first.
-func (r *Runner) stopDrained(ctx context.Context, owned *rack, w *worker, ref platform.TaskRef, kind api.Kind) error {
+func (r *Runner) stopDrained(ctx context.Context, owned *rack, w *worker, ref backend.TaskRef, kind api.Kind) error {
 	if kind == api.KindService {
 		r.options.Slots.WaitIdle(ctx, w.info.ID, ref.Task, DrainTime)
 	}
--- a/runner/report.go
+++ b/runner/report.go
@@ -6,8 +6,8 @@
 	"strings"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 func (a *attempt) report(id api.WorkerID) AttemptReport {
@@ -120,7 +120,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		err := w.client.Ack(ctx, platform.TaskRef{Task: ref.Task, Attempt: ref.Attempt, Epoch: owned.epoch})
+		err := w.client.Ack(ctx, backend.TaskRef{Task: ref.Task, Attempt: ref.Attempt, Epoch: owned.epoch})
 		r.options.Loop.Post(func() {
 			if err == nil && r.holds(owned) {
 				done()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 // Loop is the control goroutine.
@@ -48,7 +48,7 @@
 	Self      api.InstanceID
 	Clock     clockwork.Clock
 	Loop      Loop
-	Workers   platform.Workers
+	Workers   backend.Workers
 	Ownership Ownership
 	Reporter  Reporter
 	Slots     Slots
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend"
 	"bronzehook/fault"
 	"bronzehook/logging"
-	"bronzehook/platform"
 )
 
 // worker is what the owner of a rack knows of one of its workers.
 type worker struct {
 	info   api.Worker
-	client platform.Worker
+	client backend.Worker
 	// fenced is set once the worker has answered a fence of the current epoch. Before, its capacity counts as 0.
 	fenced  bool
 	polling bool
@@ -32,7 +32,7 @@
 
 // attempt is what the owner of a rack knows of one attempt.
 type attempt struct {
-	status platform.TaskStatus
+	status backend.TaskStatus
 	// seen is set once an inventory has listed the attempt.
 	seen bool
 	// notAfter is the reading of the worker's clock after which the start order can no longer take effect.
@@ -88,7 +88,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		var inventory platform.Inventory
+		var inventory backend.Inventory
 		var err error
 		if fence {
 			inventory, err = w.client.Fence(ctx, owned.epoch)
@@ -105,7 +105,7 @@
 	}()
 }
 
-func (r *Runner) applyInventory(owned *rack, w *worker, inventory platform.Inventory, err error, at time.Time) {
+func (r *Runner) applyInventory(owned *rack, w *worker, inventory backend.Inventory, err error, at time.Time) {
 	if err != nil || inventory.Epoch != owned.epoch {
 		// A worker that was restarted knows no epoch; it has to be fenced again before it takes orders.
 		w.fenced = w.fenced && (err != nil || inventory.Epoch > owned.epoch)
@@ -134,7 +134,7 @@
 
 // merge brings the known attempts in line with an inventory. It returns ended attempts that a later attempt of the same
 // task has replaced; the record has moved past them.
-func (w *worker) merge(inventory platform.Inventory, rebooted bool) (replaced []Ref) {
+func (w *worker) merge(inventory backend.Inventory, rebooted bool) (replaced []Ref) {
 	listed := map[api.TaskID]bool{}
 	for _, status := range inventory.Tasks {
 		listed[status.Task] = true
@@ -228,13 +228,13 @@
 	if !w.fenced || !w.unreachableSince.IsZero() {
 		return
 	}
-	var refs []platform.TaskRef
+	var refs []backend.TaskRef
 	leaseEnd := w.estimate(r.options.Clock.Now()) + r.options.Lease
 	for task, a := range w.attempts {
 		if a.status.State.Ended() {
 			continue
 		}
-		refs = append(refs, platform.TaskRef{Task: task, Attempt: a.status.Attempt, Epoch: owned.epoch})
+		refs = append(refs, backend.TaskRef{Task: task, Attempt: a.status.Attempt, Epoch: owned.epoch})
 	}
 	if len(refs) == 0 {
 		return
--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/ctl"
 	"bronzehook/fault"
 	"bronzehook/operator"
 	"bronzehook/peer"
-	"bronzehook/platform/standin"
 )
 
 const (
--- a/session/golden_test.go
+++ b/session/golden_test.go
@@ -15,8 +15,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/operator"
-	"bronzehook/platform/standin"
 )
 
 const goldenFile = "testdata/session.golden"
--- a/session/journal_test.go
+++ b/session/journal_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/invariant"
-	"bronzehook/platform/standin"
 )
 
 // runs returns the attempts in the journals that match, in the order of their starts.
--- a/session/pairs_test.go
+++ b/session/pairs_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform/standin"
 )
 
 // Guards against keys that run twice, or work that is not taken up again, when an owner dies while the table is down.
--- a/session/store_test.go
+++ b/session/store_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform/standin"
 )
 
 const (
--- a/session/workers_test.go
+++ b/session/workers_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bronzehook/api"
+	"bronzehook/backend/standin"
 	"bronzehook/fault"
-	"bronzehook/platform/standin"
 )
 
 const (
