--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -16,6 +16,7 @@
 
 	"bronzehook/api"
 	"bronzehook/backend/httpbackend"
+	"bronzehook/entry"
 	"bronzehook/fault"
 	"bronzehook/instance"
 	"bronzehook/logging"
@@ -26,7 +27,13 @@
 	os.Exit(run(os.Args[1:]))
 }
 
+// entryCommand runs an entry instance on the users' platform.
+const entryCommand = "entry"
+
 func run(args []string) int {
+	if len(args) > 0 && args[0] == entryCommand {
+		return runEntry(args[1:])
+	}
 	s, err := settings.Parse(args)
 	if err != nil {
 		return reportStartFailure(err)
@@ -43,6 +50,23 @@
 	return fault.ExitOK
 }
 
+func runEntry(args []string) int {
+	s, err := entry.ParseSettings(args)
+	if err != nil {
+		return reportStartFailure(err)
+	}
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return reportStartFailure(err)
+	}
+	logger := logging.New(os.Stdout, level).With().Str(logging.KeyInstance, s.ID).Logger()
+	if err := entry.Run(s, logger); err != nil {
+		logger.Error().AnErr("error", err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance ended with a failure")
+		return fault.Describe(err).Exit
+	}
+	return fault.ExitOK
+}
+
 func reportStartFailure(err error) int {
 	var help *settings.HelpError
 	if errors.As(err, &help) {
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"bronzehook/duty"
+	"bronzehook/execution"
+	"bronzehook/intake"
+	"bronzehook/kernel"
+	"bronzehook/manifest"
+	"bronzehook/platform"
+)
+
+// Timing of a planned stop. The platform sends new connections for up to 2 s after the first miss.
+const (
+	// killMargin is kept back from the time until the platform kills the process.
+	killMargin = 700 * time.Millisecond
+	// closeTime is how long the last answers may take once no more requests are taken.
+	closeTime = 500 * time.Millisecond
+	// readyOutage is how long the store may be silent before the instance asks for no more connections.
+	readyOutage = 1500 * time.Millisecond
+)
+
+// gcPercent trades memory, of which entry instances have plenty, for processor time, of which they have little.
+const gcPercent = 400
+
+// memoryHeadroom is the share of the memory that the heap may use.
+const memoryHeadroom = 0.6
+
+// Run serves until a stop signal.
+func Run(s *Settings, logger zerolog.Logger) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryHeadroom * (1 << 20)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	node := assemble(s, logger)
+	if err := node.kernel.Start(context.Background()); err != nil {
+		return err
+	}
+	logger.Info().Str("callers", s.CallerAddr).Str("data_centre", s.DataCentre).Str("store", s.StoreAddr).
+		Dur("lease", s.LeaseLength()).Msg("instance started")
+	for got := range signals {
+		if got == syscall.SIGHUP {
+			logger.Info().Msg("settings reloaded")
+			continue
+		}
+		break
+	}
+	logger.Info().Msg("instance stopping")
+	node.drain(time.Duration(s.StopTimeout)*time.Second - killMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	err := node.kernel.Stop(ctx)
+	logger.Info().Msg("instance stopped")
+	return err
+}
+
+// node is the assembled process.
+type node struct {
+	kernel  *kernel.Kernel
+	logger  zerolog.Logger
+	callers *callerServer
+	duty    *dutyService
+	leaving atomic.Bool
+}
+
+func assemble(s *Settings, logger zerolog.Logger) *node {
+	table := platform.NewStore(s.StoreAddr)
+	current := &manifest.Holder{}
+	registry := prometheus.NewRegistry()
+	n := &node{logger: logger}
+	n.duty = &dutyService{
+		table: table, roundTrip: table.Health().RoundTrip, name: s.ID, logger: logger,
+		options: execution.Options{
+			Table: table, Workers: platform.NewWorkers(), Manifest: current, WorkersTable: platform.WorkersTable,
+			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: time.Now, Logger: logger,
+			LeaseLength: s.LeaseLength(), Metrics: execution.NewMetrics(registry),
+		},
+	}
+	callers := intake.New(table, table.Health(), current, logger)
+	n.callers = &callerServer{addr: s.CallerAddr, handler: n.markLast(platform.NewCallerHandler(callers))}
+	ready := func() bool {
+		return !n.leaving.Load() && current.Current() != nil && !table.Health().Down(readyOutage)
+	}
+	n.kernel = kernel.New(nil)
+	n.kernel.Register(
+		&manifestService{table: table, holder: current, logger: logger},
+		n.duty,
+		n.callers,
+		&plainServer{name: "ready", addr: s.ReadyAddr, handler: platform.NewReadyHandler(ready)},
+	)
+	if s.MetricsAddr != "" {
+		metrics := http.NewServeMux()
+		metrics.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+		n.kernel.Register(&plainServer{name: "metrics", addr: s.MetricsAddr, handler: metrics})
+	}
+	return n
+}
+
+// markLast closes each connection after its next answer once the instance is leaving.
+func (n *node) markLast(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drain hands the duty over at once and serves callers until the time is nearly up: the platform may still send
+// connections, and requests on open ones have to be answered.
+func (n *node) drain(available time.Duration) {
+	n.leaving.Store(true)
+	deadline := time.Now().Add(available - closeTime)
+	if err := n.duty.Stop(context.Background()); err != nil {
+		n.logger.Warn().AnErr("error", err).Msg("duty not handed over")
+	}
+	time.Sleep(time.Until(deadline))
+}
+
+// callerServer serves callers.
+type callerServer struct {
+	addr    string
+	handler http.Handler
+	server  *http.Server
+}
+
+// Limits of callers' connections.
+const (
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Name implements kernel.Service.
+func (*callerServer) Name() string { return "callers" }
+
+// Requires implements kernel.Service.
+func (*callerServer) Requires() []string { return []string{"manifest"} }
+
+// Start implements kernel.Service.
+func (s *callerServer) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrap(err, "listening for callers")
+	}
+	s.server = &http.Server{
+		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *callerServer) Stop(ctx context.Context) error {
+	return errors.Wrap(s.server.Shutdown(ctx), "stopping the callers' server")
+}
+
+// plainServer serves a handler of the platform.
+type plainServer struct {
+	name    string
+	addr    string
+	handler http.Handler
+	server  *http.Server
+}
+
+// Name implements kernel.Service.
+func (s *plainServer) Name() string { return s.name }
+
+// Requires implements kernel.Service.
+func (*plainServer) Requires() []string { return nil }
+
+// Start implements kernel.Service.
+func (s *plainServer) Start(context.Context) error {
+	listener, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return errors.Wrapf(err, "listening for %s", s.name)
+	}
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *plainServer) Stop(context.Context) error {
+	return errors.Wrapf(s.server.Close(), "stopping %s", s.name)
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,152 @@
+// Package entry assembles the process that runs on an entry instance: it serves callers and, on one instance at a time,
+// holds the scheduling duty.
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"bronzehook/fault"
+	"bronzehook/settings"
+)
+
+// SettingsFileVariable names the file whose lines NAME=value supplement the environment.
+const SettingsFileVariable = "BRONZEHOOK_CONFIG"
+
+// Settings holds every setting of an entry instance.
+type Settings struct {
+	ID          string  `long:"id" env:"BRONZEHOOK_ID" description:"name of this instance, unique in the fleet"`
+	Region      string  `long:"region" env:"BRONZEHOOK_REGION" description:"region of this instance"`
+	DataCentre  string  `long:"data-centre" env:"BRONZEHOOK_DATA_CENTRE" description:"data centre of this instance"`
+	CallerAddr  string  `long:"caller-addr" env:"BRONZEHOOK_CALLER_ADDR" description:"IP address and port for callers (HTTP)"`
+	ReadyAddr   string  `long:"ready-addr" env:"BRONZEHOOK_READY_ADDR" description:"IP address and port for the platform's question whether this instance is ready (HTTP)"`
+	MetricsAddr string  `long:"metrics-addr" env:"BRONZEHOOK_METRICS_ADDR" description:"IP address and port for metrics (HTTP); empty serves none"`
+	StoreAddr   string  `long:"store-addr" env:"BRONZEHOOK_STORE_ADDR" description:"IP address and port of the platform's store"`
+	CPUShare    float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, above 0"`
+	MemoryLimit int     `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 64 to 65536"`
+
+	Lease       int    `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
+	StopTimeout int    `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
+	Retention   int    `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
+	LogLevel    string `long:"log-level" env:"BRONZEHOOK_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+// LeaseLength is the lease that the duty holder orders.
+func (s *Settings) LeaseLength() time.Duration {
+	return min(maxLease, time.Duration(s.Lease)*time.Millisecond)
+}
+
+// maxLease bounds the time until work of a silent worker is started elsewhere. It has to outlast a change of the duty
+// holder, which takes up to 4 s.
+const maxLease = 7 * time.Second
+
+// ParseSettings reads the settings from arguments, the environment and the settings file, in this order of precedence.
+func ParseSettings(args []string) (*Settings, error) {
+	if err := loadFile(os.Getenv(SettingsFileVariable)); err != nil {
+		return nil, err
+	}
+	s := &Settings{}
+	parser := flags.NewNamedParser("bronzehook entry", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", s); err != nil {
+		return nil, errors.Wrap(err, "declaring settings")
+	}
+	if rest, err := parser.ParseArgs(args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			return nil, &settings.HelpError{Text: flagErr.Message}
+		}
+		return nil, errors.WithStack(&settings.InvalidError{Flag: "arguments", Value: strings.Join(args, " "), Accepted: err.Error()})
+	} else if len(rest) > 0 {
+		return nil, errors.WithStack(&settings.InvalidError{Flag: "arguments", Value: rest[0], Accepted: "flags only"})
+	}
+	return s, s.validate()
+}
+
+// SettingsFileError reports a settings file that can't be read.
+type SettingsFileError struct {
+	Line   int
+	Detail string
+}
+
+// Error names the line.
+func (e *SettingsFileError) Error() string {
+	return fmt.Sprintf("settings file, line %d: %s", e.Line, e.Detail)
+}
+
+// Code implements fault.Coded.
+func (*SettingsFileError) Code() fault.Code { return fault.CodeInvalid }
+
+// loadFile adds the lines of a file to the environment. Variables that are set already keep their values.
+func loadFile(path string) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.WithStack(&SettingsFileError{Detail: err.Error()})
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for number := 1; lines.Scan(); number++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		name, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return errors.WithStack(&SettingsFileError{Line: number, Detail: "no = in it"})
+		}
+		if _, set := os.LookupEnv(name); !set {
+			if err := os.Setenv(name, value); err != nil {
+				return errors.WithStack(&SettingsFileError{Line: number, Detail: err.Error()})
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return errors.WithStack(&SettingsFileError{Detail: err.Error()})
+	}
+	return nil
+}
+
+func (s *Settings) validate() error {
+	for _, text := range []struct{ flag, value string }{{"id", s.ID}, {"region", s.Region}, {"data-centre", s.DataCentre}} {
+		if text.value == "" {
+			return errors.WithStack(&settings.InvalidError{Flag: text.flag, Value: "", Accepted: "a name"})
+		}
+	}
+	for _, addr := range []struct{ flag, value string }{
+		{"caller-addr", s.CallerAddr}, {"ready-addr", s.ReadyAddr}, {"store-addr", s.StoreAddr},
+	} {
+		if _, _, err := net.SplitHostPort(addr.value); err != nil {
+			return errors.WithStack(&settings.InvalidError{Flag: addr.flag, Value: addr.value, Accepted: "IP address and port"})
+		}
+	}
+	for _, number := range []struct {
+		flag             string
+		value, low, high int
+	}{
+		{"memory-limit", s.MemoryLimit, 64, 65_536}, {"lease-ms", s.Lease, 3_000, 600_000},
+		{"stop-timeout-s", s.StopTimeout, 2, 600}, {"retention-s", s.Retention, 10, 86_400},
+	} {
+		if number.value < number.low || number.value > number.high {
+			return errors.WithStack(&settings.InvalidError{
+				Flag: number.flag, Value: fmt.Sprint(number.value), Accepted: fmt.Sprintf("%d to %d", number.low, number.high),
+			})
+		}
+	}
+	if s.CPUShare <= 0 {
+		return errors.WithStack(&settings.InvalidError{Flag: "cpu-share", Value: fmt.Sprint(s.CPUShare), Accepted: "above 0"})
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		return errors.WithStack(&settings.InvalidError{Flag: "log-level", Value: s.LogLevel, Accepted: "debug, info, warn or error"})
+	}
+	return nil
+}
--- /dev/null
+++ b/execution/attempts.go
@@ -0,0 +1,263 @@
+package execution
+
+import (
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/workers"
+)
+
+// attach counts an attempt against its worker.
+func (t *Term) attach(r *run) {
+	r.worker.runs[runKey{r.task.id, r.attempt}] = r
+	r.worker.node.Reserve(r.task.step)
+	r.task.run = r
+	r.task.job.live++
+	r.movedAt = t.opts.Clock()
+}
+
+// detach releases what an attempt took; it is certain that it does not run any more.
+func (t *Term) detach(r *run) {
+	key := runKey{r.task.id, r.attempt}
+	if r.worker.runs[key] != r {
+		return
+	}
+	delete(r.worker.runs, key)
+	r.worker.node.Release(r.task.step)
+	r.task.job.live--
+	if r.task.run == r {
+		r.task.run = nil
+	}
+	r.task.readyAt = t.opts.Clock()
+	t.unplaced = true
+}
+
+// stop asks for the end of an attempt.
+func (t *Term) stop(r *run, cause string) {
+	if r.stopping {
+		return
+	}
+	if r.phase == phaseRecording {
+		// Nothing was ordered. The record of the attempt is void once the next change is stored.
+		r.task.ended = max(r.task.ended, r.attempt)
+		t.detach(r)
+		t.touch(r.task.job)
+		return
+	}
+	r.stopping, r.stopCause = true, cause
+	r.stopAt = t.opts.Clock()
+	t.log.Info().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
+		Str(logging.KeyWorker, string(r.worker.id())).Str(logging.KeyReason, cause).Int("percent", r.percent).
+		Msg("attempt to be stopped")
+}
+
+// stopAll asks for the end of all attempts of a job.
+func (t *Term) stopAll(j *job, cause string) {
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		for _, step := range o.steps {
+			for _, task := range step {
+				if task.run != nil {
+					t.stop(task.run, cause)
+				}
+			}
+		}
+	}
+}
+
+// gone handles an attempt that no longer runs and has no listed end.
+func (t *Term) gone(r *run, why string) {
+	t.log.Warn().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
+		Str(logging.KeyWorker, string(r.worker.id())).Str(logging.KeyReason, why).Msg("attempt lost")
+	r.task.ended = max(r.task.ended, r.attempt)
+	t.detach(r)
+	t.breakGang(r.task, r.attempt)
+	t.touch(r.task.job)
+}
+
+// end takes up the end of an attempt that a worker lists.
+func (t *Term) end(w *worker, e workers.End) {
+	j := t.jobs[e.Task.Job]
+	task := t.findTask(e.Task)
+	if j == nil || task == nil {
+		w.acks = append(w.acks, ack{number: e.Number})
+		delete(w.foreign, runKey{e.Task, e.Attempt})
+		return
+	}
+	key := runKey{e.Task, e.Attempt}
+	delete(w.foreign, key)
+	if r := w.runs[key]; r != nil {
+		t.detach(r)
+	}
+	// With the record of an earlier term the end may have been counted already.
+	if e.Attempt > task.ended && !task.done {
+		task.ended = e.Attempt
+		t.count(w, task, e)
+		t.touch(j)
+	}
+	w.acks = append(w.acks, ack{number: e.Number, job: j, sequence: j.sequence})
+}
+
+// count changes a task by the end of its attempt.
+func (t *Term) count(w *worker, task *task, e workers.End) {
+	t.log.Info().Stringer(logging.KeyTask, e.Task).Int(logging.KeyAttempt, e.Attempt).
+		Str(logging.KeyWorker, string(w.id())).Str("cause", string(e.Cause)).Int("failures", task.failures).
+		Msg("attempt ended")
+	t.opts.Metrics.ended(e.Cause)
+	if e.Checkpoint != "" {
+		task.checkpoint = e.Checkpoint
+	}
+	switch e.Cause {
+	case workers.CauseDone:
+		w.failStreak = 0
+		if !task.step.LongRunning {
+			t.finish(task)
+			return
+		}
+	case workers.CauseFailed:
+		t.countFailure(w, task)
+	}
+	if e.Cause != workers.CauseDone {
+		t.breakGang(task, e.Attempt)
+	}
+	t.settle(task.job)
+}
+
+// Suspicion of a worker: so many tasks in a row failed there at their first failure.
+const (
+	suspectAfter = 3
+	suspectFor   = 6 * time.Second
+)
+
+func (t *Term) countFailure(w *worker, task *task) {
+	task.avoid = w.id()
+	if !task.step.LongRunning {
+		task.failures++
+	}
+	if task.failures <= 1 {
+		w.failStreak++
+	}
+	if w.failStreak >= suspectAfter {
+		t.suspect(w, "fails what it starts")
+	}
+}
+
+func (t *Term) suspect(w *worker, why string) {
+	now := t.opts.Clock()
+	if now >= w.restUntil {
+		t.log.Warn().Str(logging.KeyWorker, string(w.id())).Str(logging.KeyReason, why).Dur("rest", suspectFor).
+			Msg("worker suspected")
+	}
+	w.restUntil = now + suspectFor
+	w.failStreak = 0
+}
+
+// finish marks a task as done. One end of a gang stands for all of its members.
+func (t *Term) finish(done *task) {
+	for _, member := range t.gangOf(done) {
+		if member.done {
+			continue
+		}
+		member.done = true
+		member.checkpoint = ""
+		member.ended = max(member.ended, done.ended)
+		done.job.occurrences[done.id.Occurrence].left[done.id.Step]--
+		if member.run != nil && member != done {
+			t.stop(member.run, "the gang is done")
+		}
+	}
+	if done.run != nil {
+		t.stop(done.run, "a copy is done")
+	}
+	t.settle(done.job)
+}
+
+// gangOf returns all tasks that end together with one.
+func (t *Term) gangOf(one *task) []*task {
+	if !one.step.Gang {
+		return []*task{one}
+	}
+	return one.job.occurrences[one.id.Occurrence].steps[one.id.Step]
+}
+
+// breakGang stops the other members of a gang, which has to start again as a whole.
+func (t *Term) breakGang(one *task, attempt int) {
+	if !one.step.Gang || one.done {
+		return
+	}
+	for _, member := range t.gangOf(one) {
+		member.checkpoint = one.checkpoint
+		if member.run != nil && member.run.attempt <= attempt {
+			t.stop(member.run, "the gang is broken")
+		}
+	}
+}
+
+// settle moves a job to succeeded or failed if its tasks say so.
+func (t *Term) settle(j *job) {
+	if j.terminal() {
+		return
+	}
+	all := true
+	for _, o := range j.occurrences {
+		if o == nil {
+			all = false
+			continue
+		}
+		for s, step := range o.steps {
+			if o.left[s] > 0 {
+				all = false
+			}
+			if t.exhausted(j, step) {
+				t.endJob(j, jobs.StateFailed)
+				return
+			}
+		}
+	}
+	if all {
+		t.endJob(j, jobs.StateSucceeded)
+	}
+}
+
+// exhausted reports whether a task, or a gang as a whole, has failed as often as the queue allows.
+func (t *Term) exhausted(j *job, step []*task) bool {
+	if !j.known || j.queue.MaxAttempts <= 0 {
+		return false
+	}
+	failures := 0
+	for _, task := range step {
+		if task.done {
+			continue
+		}
+		if !task.step.Gang && task.failures >= j.queue.MaxAttempts {
+			return true
+		}
+		failures += task.failures
+	}
+	return len(step) > 0 && step[0].step.Gang && failures >= j.queue.MaxAttempts
+}
+
+func (t *Term) endJob(j *job, state jobs.State) {
+	j.state = state
+	t.stopAll(j, "the job has ended")
+	t.log.Info().Str(logging.KeyRequest, string(j.spec.ID)).Str("queue", j.spec.Queue).Str("state", string(state)).
+		Int64("age_ms", t.opts.Now().UnixMilli()-j.spec.Submitted).
+		Int64("objective_ms", j.deadline.UnixMilli()-j.spec.Submitted).Msg("job ended")
+	t.opts.Metrics.jobEnded(state, t.opts.Now().Sub(time.UnixMilli(j.spec.Submitted)))
+	t.touch(j)
+}
+
+func (t *Term) findTask(id jobs.Task) *task {
+	j := t.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if o == nil || id.Step < 0 || id.Step >= len(o.steps) || id.Index < 0 || id.Index >= len(o.steps[id.Step]) {
+		return nil
+	}
+	return o.steps[id.Step][id.Index]
+}
--- /dev/null
+++ b/execution/feeds.go
@@ -0,0 +1,198 @@
+package execution
+
+import (
+	"time"
+
+	"bronzehook/fault"
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/placement"
+	"bronzehook/store"
+	"bronzehook/workers"
+)
+
+// watchIntake follows accepted jobs and cancellations.
+func (t *Term) watchIntake(after uint64) {
+	t.follow(store.TableIntake, after, intakeWait, intakeGap, func(rows []store.Row, _ bool) {
+		for _, row := range rows {
+			if !row.Deleted {
+				t.applyIntake(row)
+			}
+		}
+	})
+}
+
+// watchWorkers follows the entries of workers.
+func (t *Term) watchWorkers(after uint64) {
+	t.follow(t.opts.WorkersTable, after, workersWait, workersGap, func(rows []store.Row, whole bool) {
+		if whole {
+			t.unlistMissing(rows)
+		}
+		for _, row := range rows {
+			t.applyEntry(row)
+		}
+	})
+}
+
+// follow hands changes of a table to the control goroutine. If the history is gone it reads the whole table.
+func (t *Term) follow(table string, after uint64, wait, gap time.Duration, apply func(rows []store.Row, whole bool)) {
+	for t.ctx.Err() == nil {
+		changes, err := t.opts.Table.Watch(t.ctx, table, after, wait)
+		whole := false
+		if fault.CodeOf(err) == fault.CodeExpired {
+			whole = true
+			changes, err = store.List(t.ctx, t.opts.Table, table, "", "")
+			t.log.Warn().Str("table", table).Uint64("after", after).Msg("history gone, table read whole")
+		}
+		if err != nil {
+			t.pause(watchRetry)
+			continue
+		}
+		after = max(after, changes.Version)
+		if len(changes.Rows) > 0 || whole {
+			t.post(func() { apply(changes.Rows, whole) })
+			t.pause(gap)
+		}
+	}
+}
+
+func (t *Term) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-t.ctx.Done():
+	}
+}
+
+// applyIntake takes up a job or a cancellation.
+func (t *Term) applyIntake(row store.Row) {
+	name, cancel, ok := store.ParseIntake(row.Name)
+	if !ok {
+		return
+	}
+	id := jobs.ID(name)
+	if cancel {
+		if j := t.jobs[id]; j != nil {
+			t.cancel(j)
+			return
+		}
+		t.early[id] = true
+		return
+	}
+	if t.jobs[id] != nil {
+		return
+	}
+	spec, err := jobs.Decode[jobs.Spec]("job", row.Value)
+	if err != nil {
+		t.log.Error().Str(logging.KeyRequest, name).AnErr("error", err).Msg("job unreadable")
+		return
+	}
+	j := &job{
+		spec: spec, state: jobs.StateQueued, stored: jobs.StateQueued, stateVersion: row.Version,
+		occurrences: make([]*occurrence, spec.Occurrences()), pending: !spec.Scheduled(),
+	}
+	t.jobs[id] = j
+	t.order = append(t.order, j)
+	if !spec.Scheduled() {
+		t.openOccurrence(j, 0)
+	}
+	t.unplaced = true
+	if t.early[id] {
+		delete(t.early, id)
+		t.cancel(j)
+	}
+}
+
+// cancel ends a job whose public state says so already.
+func (t *Term) cancel(j *job) {
+	if j.cancelled || j.ended {
+		return
+	}
+	j.cancelled = true
+	j.state, j.stored = jobs.StateCancelled, jobs.StateCancelled
+	t.log.Info().Str(logging.KeyRequest, string(j.spec.ID)).Int("running", j.live).Msg("job is cancelled")
+	t.stopAll(j, "cancelled")
+	t.touch(j)
+}
+
+// applyEntry takes up what a worker says of itself.
+func (t *Term) applyEntry(row store.Row) {
+	id := workers.ID(row.Name)
+	if row.Deleted {
+		if w := t.workers[id]; w != nil && w.listed {
+			w.listed = false
+			t.log.Info().Str(logging.KeyWorker, row.Name).Msg("worker no longer listed")
+		}
+		return
+	}
+	entry, ok := t.opts.ParseEntry(row)
+	if !ok {
+		if w := t.workers[id]; w != nil {
+			w.listed = false
+		}
+		return
+	}
+	w := t.workerOf(id)
+	if w.born != 0 && entry.Born != 0 && entry.Born < w.born {
+		return
+	}
+	if !w.listed {
+		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", entry.Addr).Msg("worker listed")
+	}
+	if w.node.Entry.Addr != entry.Addr || (entry.Born != 0 && w.born != 0 && entry.Born > w.born) {
+		// Another life: it has not seen this term's epoch.
+		w.fenced = false
+		w.lookFailures = 0
+	}
+	if entry.Draining && !w.node.Entry.Draining {
+		w.drainingSince = t.opts.Clock()
+		w.leavesAt = w.drainingSince + entry.Remaining
+		t.log.Info().Str(logging.KeyWorker, row.Name).Dur("remaining", entry.Remaining).Msg("worker is draining")
+	}
+	w.listed = true
+	w.node.Entry = entry
+	t.unplaced = true
+}
+
+// unlistMissing drops the entries that a whole reading of the table does not have.
+func (t *Term) unlistMissing(rows []store.Row) {
+	present := make(map[workers.ID]bool, len(rows))
+	for _, row := range rows {
+		present[workers.ID(row.Name)] = true
+	}
+	for id, w := range t.workers {
+		if !present[id] {
+			w.listed = false
+		}
+	}
+}
+
+// nodeList keeps the accounts in a slice for the decisions.
+type nodeList struct {
+	all   []*placement.Node
+	owner map[*placement.Node]*worker
+}
+
+func (l *nodeList) add(node *placement.Node, w *worker) {
+	if l.owner == nil {
+		l.owner = make(map[*placement.Node]*worker)
+	}
+	l.all = append(l.all, node)
+	l.owner[node] = w
+}
+
+// refreshNodes brings the accounts' usability up to date.
+func (t *Term) refreshNodes(now time.Duration) {
+	for _, w := range t.workers {
+		usable := w.listed && w.fenced && !w.node.Entry.Draining && w.lookFailures == 0 && len(w.foreign) == 0
+		if usable && !w.node.Usable {
+			t.unplaced = true
+		}
+		w.node.Usable = usable
+		w.node.Suspect = 0
+		if now < w.restUntil {
+			w.node.Suspect = 1
+		}
+	}
+}
--- /dev/null
+++ b/execution/load.go
@@ -0,0 +1,152 @@
+package execution
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/duty"
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/placement"
+	"bronzehook/store"
+	"bronzehook/workers"
+)
+
+// positions are the versions from which the watches go on.
+type positions struct{ intake, workers uint64 }
+
+// load reads everything that earlier terms stored.
+func (t *Term) load() (positions, error) {
+	var at positions
+	intake, err := t.list(store.TableIntake)
+	if err != nil {
+		return at, err
+	}
+	progress, err := t.list(store.TableProgress)
+	if err != nil {
+		return at, err
+	}
+	entries, err := t.list(t.opts.WorkersTable)
+	if err != nil {
+		return at, err
+	}
+	at.intake, at.workers = intake.Version, entries.Version
+	for _, row := range entries.Rows {
+		t.applyEntry(row)
+	}
+	for _, row := range intake.Rows {
+		t.applyIntake(row)
+	}
+	for _, row := range progress.Rows {
+		t.applyRecord(row)
+	}
+	return at, nil
+}
+
+// list reads a table and renews the duty meanwhile. It tries again until the duty lapses.
+func (t *Term) list(table string) (store.Changes, error) {
+	for {
+		if _, err := t.holder.Commit(t.ctx, store.Txn{}); err != nil {
+			var lost *duty.LostError
+			if errors.As(err, &lost) {
+				return store.Changes{}, err
+			}
+		}
+		rows, err := store.List(t.ctx, t.opts.Table, table, "", "")
+		if err == nil {
+			return rows, nil
+		}
+		if t.ctx.Err() != nil {
+			return store.Changes{}, errors.WithStack(t.ctx.Err())
+		}
+		if !t.holder.Valid() {
+			return store.Changes{}, errors.WithStack(&duty.LapsedError{Age: t.holder.Age()})
+		}
+		time.Sleep(watchRetry / 4)
+	}
+}
+
+// applyRecord restores the progress of a job.
+func (t *Term) applyRecord(row store.Row) {
+	j := t.jobs[jobs.ID(row.Name)]
+	if j == nil {
+		return
+	}
+	record, err := jobs.Decode[jobs.Record]("progress", row.Value)
+	if err != nil {
+		t.log.Error().Str(logging.KeyRequest, row.Name).AnErr("error", err).Msg("progress unreadable")
+		return
+	}
+	j.recorded = true
+	for i := range record.Tasks {
+		t.restoreTask(j, &record.Tasks[i])
+	}
+	t.settle(j)
+}
+
+func (t *Term) restoreTask(j *job, r *jobs.TaskRecord) {
+	if r.Occurrence >= len(j.occurrences) || r.Step >= len(j.spec.Steps) || r.Index >= j.spec.Steps[r.Step].Count {
+		return
+	}
+	o := t.openOccurrence(j, r.Occurrence)
+	task := o.steps[r.Step][r.Index]
+	task.failures, task.attempt, task.ended, task.checkpoint = r.Failures, r.Attempt, r.Ended, r.Checkpoint
+	j.begun = true
+	if r.Done {
+		task.done = true
+		o.left[r.Step]--
+		return
+	}
+	if r.Worker == "" || r.Attempt <= r.Ended {
+		return
+	}
+	w := t.workerOf(workers.ID(r.Worker))
+	inherited := &run{task: task, attempt: r.Attempt, worker: w, phase: phaseInherited, percent: -1}
+	t.attach(inherited)
+	w.deadBy = max(w.deadBy, t.inheritedLeaseEnd())
+}
+
+// inheritedLeaseEnd is when leases granted by earlier terms have run out: they were granted before this term began.
+func (t *Term) inheritedLeaseEnd() time.Duration {
+	return t.began + time.Duration(float64(t.opts.LeaseLength)*leaseDrift) + 4*leaseMargin
+}
+
+// workerOf returns a worker, which is unusable until it has an entry.
+func (t *Term) workerOf(id workers.ID) *worker {
+	w := t.workers[id]
+	if w == nil {
+		w = &worker{
+			runs: make(map[runKey]*run), foreign: make(map[runKey]time.Duration),
+			node: placement.Node{Entry: workers.Entry{ID: id}},
+		}
+		w.deadBy = t.inheritedLeaseEnd()
+		t.workers[id] = w
+		t.nodes.add(&w.node, w)
+	}
+	return w
+}
+
+// openOccurrence returns the tasks of an occurrence and makes them if need be.
+func (t *Term) openOccurrence(j *job, number int) *occurrence {
+	if o := j.occurrences[number]; o != nil {
+		return o
+	}
+	o := &occurrence{steps: make([][]*task, len(j.spec.Steps)), left: make([]int, len(j.spec.Steps))}
+	now := t.opts.Clock()
+	for s := range j.spec.Steps {
+		step := &j.spec.Steps[s]
+		o.left[s] = step.Count
+		block := make([]task, step.Count)
+		o.steps[s] = make([]*task, step.Count)
+		for i := range block {
+			block[i] = task{
+				job: j, step: step, readyAt: now,
+				id: jobs.Task{Job: j.spec.ID, Occurrence: number, Step: s, Index: i},
+			}
+			o.steps[s][i] = &block[i]
+		}
+	}
+	j.occurrences[number] = o
+	return o
+}
--- /dev/null
+++ b/execution/model.go
@@ -0,0 +1,191 @@
+// Package execution runs the scheduling duty for one term of office: it reads what is stored, takes stock of the
+// workers, places tasks, gives orders and records what comes of them. One goroutine owns the state; others carry calls
+// and hand their results to it.
+//
+// Three rules keep work from being lost or done twice. An attempt is recorded before it is ordered. An end is recorded
+// before the worker may forget it. A task gets its next attempt only after the worker has listed the last one as ended
+// or absent, or after every lease that was ever granted for it has run out.
+package execution
+
+import (
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/manifest"
+	"bronzehook/placement"
+	"bronzehook/workers"
+)
+
+// phase is how far an attempt has got, as this term knows it.
+type phase uint8
+
+const (
+	// phaseRecording waits for the attempt's record to be committed; nothing has been ordered.
+	phaseRecording phase = iota
+	// phaseOrdered has been ordered and not yet confirmed.
+	phaseOrdered
+	// phaseRunning was confirmed by the worker.
+	phaseRunning
+	// phaseInherited was recorded by an earlier term; whether it runs is not known.
+	phaseInherited
+)
+
+// run is an attempt that may be running on a worker. It counts against the worker's room until it is known to be gone.
+type run struct {
+	task    *task
+	attempt int
+	worker  *worker
+	phase   phase
+	// recordedBy is the job's sequence number whose commit allows the order.
+	recordedBy uint64
+	// confirmed is when the worker was last known to have it, or known to refuse it from then on.
+	confirmed time.Duration
+	orderedAt time.Duration
+	orders    int
+	// retryDue is set while an order without an answer is to be repeated at orderedAt.
+	retryDue bool
+	// stopping is set once the attempt is to end; stopAt is when the next stop order is due.
+	stopping  bool
+	stopSent  bool
+	stopAt    time.Duration
+	stopCause string
+
+	percent int
+	usage   int
+	movedAt time.Duration
+}
+
+// task is one task of a live job.
+type task struct {
+	job        *job
+	id         jobs.Task
+	step       *jobs.Step
+	done       bool
+	failures   int
+	attempt    int
+	ended      int
+	checkpoint string
+	run        *run
+	avoid      workers.ID
+	// readyAt is when the task could first be placed; it is kept for the log.
+	readyAt time.Duration
+}
+
+// occurrence is one run through the steps of a job.
+type occurrence struct {
+	steps [][]*task
+	// left counts the tasks of each step that are not done.
+	left []int
+}
+
+// job is a live job.
+type job struct {
+	spec  *jobs.Spec
+	queue manifest.Queue
+	// known is false while no manifest has named the queue.
+	known bool
+
+	occurrences []*occurrence
+	state       jobs.State
+	stored      jobs.State
+	// stateVersion is the version of the public state as last read or written.
+	stateVersion uint64
+	recorded     bool
+	pending      bool
+	begun        bool
+	cancelled    bool
+
+	// sequence counts changes; committed is the newest change that is stored.
+	sequence  uint64
+	committed uint64
+	// dirty is set while the job is in the list of jobs to commit.
+	dirty   bool
+	live    int
+	waiting []*run
+
+	deadline time.Time
+	late     time.Time
+	ended    bool
+}
+
+func (j *job) terminal() bool { return j.state.Terminal() }
+
+// ack is an end that the worker may forget once the job's change is stored.
+type ack struct {
+	number   int64
+	job      *job
+	sequence uint64
+}
+
+type runKey struct {
+	task    jobs.Task
+	attempt int
+}
+
+// worker is one worker as this term knows it.
+type worker struct {
+	node placement.Node
+	// listed is false if the store has no entry of the worker.
+	listed bool
+	// drainingSince is when the worker was first seen to drain.
+	drainingSince time.Duration
+	leavesAt      time.Duration
+
+	born    int64
+	clock   int64
+	clockAt time.Duration
+	// fenced is set once the worker has seen this term's epoch.
+	fenced bool
+
+	runs map[runKey]*run
+	// foreign holds attempts that the worker lists and no live job accounts for.
+	foreign map[runKey]time.Duration
+
+	// listedUpTo is the newest end that was taken up, seenUpTo the newest whose meaning is stored, and ackedUpTo the
+	// newest that the worker was told to forget.
+	listedUpTo int64
+	seenUpTo   int64
+	ackedUpTo  int64
+	acks       []ack
+
+	looking      bool
+	nextLook     time.Duration
+	lookFailures int
+	// deadBy is when every lease granted to anything on the worker has certainly run out.
+	deadBy time.Duration
+
+	failStreak int
+	restUntil  time.Duration
+}
+
+func (w *worker) id() workers.ID { return w.node.Entry.ID }
+
+// clockNow estimates the worker's clock, never ahead of it by more than its drift.
+func (w *worker) clockNow(now time.Duration) int64 {
+	return w.clock + (now - w.clockAt).Milliseconds()
+}
+
+func (w *worker) noteClock(clock int64, now time.Duration) {
+	if clock == 0 {
+		return
+	}
+	w.clock, w.clockAt = clock, now
+}
+
+// leaseDrift bounds how much slower a worker's clock may run, with a margin.
+const leaseDrift = 1.025
+
+// leaseMargin is added to every lease that is waited out.
+const leaseMargin = 60 * time.Millisecond
+
+// grant notes that a lease up to leaseLength from now is about to be ordered.
+func (w *worker) grant(now, leaseLength time.Duration) {
+	age := now - w.clockAt
+	end := w.clockAt + time.Duration(float64(age+leaseLength)*leaseDrift) + leaseMargin
+	w.deadBy = max(w.deadBy, end)
+}
+
+// expectsAnswers reports whether the worker has to be looked at.
+func (w *worker) expectsAnswers() bool {
+	return !w.fenced || len(w.runs) > 0 || len(w.foreign) > 0 || w.ackedUpTo < w.listedUpTo
+}
--- /dev/null
+++ b/execution/schedule.go
@@ -0,0 +1,220 @@
+package execution
+
+import (
+	"sort"
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/manifest"
+	"bronzehook/placement"
+	"bronzehook/workers"
+)
+
+// lateFactor times the objective is the time up to which a job still earns a part of its worth.
+const lateFactor = 3
+
+// schedule places every task that can be placed, the most urgent jobs first.
+func (t *Term) schedule(now time.Duration) {
+	m := t.opts.Manifest.Current()
+	if m == nil {
+		return
+	}
+	t.compactOrder()
+	today := t.opts.Now()
+	for _, j := range t.order {
+		t.refreshQueue(j, m)
+	}
+	sort.SliceStable(t.order, func(a, b int) bool { return moreUrgent(t.order[a], t.order[b], today) })
+	for _, j := range t.order {
+		if j.known && !j.terminal() {
+			t.placeJob(j, now, today)
+		}
+	}
+}
+
+// compactOrder drops ended jobs from the list.
+func (t *Term) compactOrder() {
+	kept := t.order[:0]
+	for _, j := range t.order {
+		if !j.ended {
+			kept = append(kept, j)
+		}
+	}
+	clear(t.order[len(kept):])
+	t.order = kept
+}
+
+// refreshQueue keeps a job's copy of its queue up to date. A dropped queue stays as it was.
+func (t *Term) refreshQueue(j *job, m *manifest.Manifest) {
+	q := m.Queue(j.spec.Queue)
+	if q == nil || (j.known && j.queue == *q) {
+		return
+	}
+	j.queue, j.known = *q, true
+	objective := placement.Objective(j.spec, q.Stretch, q.LatencyTarget)
+	j.deadline = time.UnixMilli(j.spec.Submitted).Add(objective)
+	j.late = time.UnixMilli(j.spec.Submitted).Add(lateFactor * objective)
+	t.settle(j)
+}
+
+// worthClass orders jobs by what they can still earn: in time, late, nothing.
+func worthClass(j *job, today time.Time) int {
+	switch {
+	case today.Before(j.deadline):
+		return 0
+	case today.Before(j.late):
+		return 1
+	}
+	return 2
+}
+
+func moreUrgent(a, b *job, today time.Time) bool {
+	if a.queue.Priority != b.queue.Priority {
+		return a.queue.Priority < b.queue.Priority
+	}
+	if ca, cb := worthClass(a, today), worthClass(b, today); ca != cb {
+		return ca < cb
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+// placeJob places the tasks whose turn has come.
+func (t *Term) placeJob(j *job, now time.Duration, today time.Time) {
+	for number := range j.occurrences {
+		if due := j.spec.Due(number); due > today.UnixMilli() {
+			break
+		}
+		o := t.openOccurrence(j, number)
+		for s := range o.steps {
+			if o.left[s] > 0 && t.stepReady(j, o, s) {
+				t.placeStep(j, o, s, now)
+			}
+		}
+	}
+}
+
+func (t *Term) stepReady(j *job, o *occurrence, step int) bool {
+	for _, earlier := range j.spec.Steps[step].After {
+		if o.left[earlier] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Term) placeStep(j *job, o *occurrence, number int, now time.Duration) {
+	tasks := o.steps[number]
+	step := &j.spec.Steps[number]
+	if step.Gang {
+		t.placeGang(j, tasks, step)
+		return
+	}
+	for _, task := range tasks {
+		if task.done || task.run != nil {
+			continue
+		}
+		if !t.place(j, task, tasks) {
+			return
+		}
+	}
+}
+
+// place records an attempt of a task on the best worker.
+func (t *Term) place(j *job, one *task, siblings []*task) bool {
+	node, reason := placement.Choose(t.nodes.all, t.request(j, one, siblings))
+	if node == nil {
+		t.opts.Metrics.unplaced(string(reason))
+		return false
+	}
+	t.assign(j, one, t.nodes.owner[node], one.attempt+1)
+	return true
+}
+
+func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
+	request := placement.Request{
+		Step: one.step, Service: j.queue.Service, Avoid: one.avoid,
+		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
+	}
+	if one.step.RackSensitive {
+		request.RackInUse = rackOf(siblings)
+	}
+	return request
+}
+
+func countOn(tasks []*task, id workers.ID) int {
+	count := 0
+	for _, task := range tasks {
+		if task.run != nil && task.run.worker.id() == id {
+			count++
+		}
+	}
+	return count
+}
+
+func rackOf(tasks []*task) string {
+	for _, task := range tasks {
+		if task.run != nil {
+			return task.run.worker.node.Entry.Rack
+		}
+	}
+	return ""
+}
+
+// assign makes an attempt, to be ordered as soon as its record is stored.
+func (t *Term) assign(j *job, one *task, w *worker, attempt int) *run {
+	one.attempt = attempt
+	r := &run{task: one, attempt: attempt, worker: w, phase: phaseRecording, percent: -1}
+	t.attach(r)
+	t.touch(j)
+	r.recordedBy = j.sequence
+	j.waiting = append(j.waiting, r)
+	t.log.Info().Stringer(logging.KeyTask, one.id).Int(logging.KeyAttempt, attempt).
+		Str(logging.KeyWorker, string(w.id())).Str("queue", j.spec.Queue).Uint64(logging.KeyRevision, t.revision()).
+		Int("free_cpu", w.node.Free().CPU).Int("leftover_cpu", w.node.Leftover()).
+		Dur("clock_age", t.opts.Clock()-w.clockAt).Msg("attempt placed")
+	return r
+}
+
+func (t *Term) revision() uint64 {
+	if m := t.opts.Manifest.Current(); m != nil {
+		return m.Version
+	}
+	return 0
+}
+
+// placeGang places all tasks of a gang under one attempt number, or none of them.
+func (t *Term) placeGang(j *job, tasks []*task, step *jobs.Step) {
+	attempt := 0
+	for _, task := range tasks {
+		if task.run != nil {
+			return
+		}
+		attempt = max(attempt, task.attempt)
+	}
+	chosen := make([]*placement.Node, 0, len(tasks))
+	onNode := make(map[workers.ID]int)
+	rack := ""
+	for range tasks {
+		node, reason := placement.Choose(t.nodes.all, placement.Request{
+			Step: step, Service: j.queue.Service, RackInUse: rack, OnNode: func(id workers.ID) int { return onNode[id] },
+		})
+		if node == nil {
+			t.opts.Metrics.unplaced(string(reason))
+			break
+		}
+		node.Reserve(step)
+		onNode[node.Entry.ID]++
+		rack = node.Entry.Rack
+		chosen = append(chosen, node)
+	}
+	for _, node := range chosen {
+		node.Release(step)
+	}
+	if len(chosen) < len(tasks) {
+		return
+	}
+	for i, task := range tasks {
+		t.assign(j, task, t.nodes.owner[chosen[i]], attempt+1)
+	}
+}
--- /dev/null
+++ b/execution/term.go
@@ -0,0 +1,175 @@
+package execution
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"bronzehook/duty"
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/manifest"
+	"bronzehook/store"
+	"bronzehook/workers"
+)
+
+// Options configures terms of office.
+type Options struct {
+	Table    store.Table
+	Workers  workers.Client
+	Manifest *manifest.Holder
+	// WorkersTable has one row for each worker; ParseEntry reads it.
+	WorkersTable string
+	ParseEntry   func(store.Row) (workers.Entry, bool)
+	Clock        duty.Clock
+	// Now reads the time of day.
+	Now    func() time.Time
+	Logger zerolog.Logger
+	// LeaseLength is how long a worker runs attempts on without hearing from the holder.
+	LeaseLength time.Duration
+	Metrics     *Metrics
+}
+
+// Timing of a term.
+const (
+	tickEvery = 100 * time.Millisecond
+	// lookWait is how long a worker holds its answer while nothing ends.
+	lookWait = 2 * time.Second
+	// uncommittedLook is the pause between looks at a worker whose ends are not stored yet.
+	uncommittedLook = time.Second
+	commitGap       = 12 * time.Millisecond
+	intakeWait      = time.Second
+	intakeGap       = 20 * time.Millisecond
+	workersWait     = time.Second
+	workersGap      = 250 * time.Millisecond
+	watchRetry      = 200 * time.Millisecond
+	eventBacklog    = 1024
+)
+
+// Term is one term of office.
+type Term struct {
+	opts   Options
+	holder *duty.Holder
+	ctx    context.Context
+	events chan func()
+	log    zerolog.Logger
+
+	jobs    map[jobs.ID]*job
+	order   []*job
+	workers map[workers.ID]*worker
+	nodes   nodeList
+	// early holds cancellations of jobs that are not known yet.
+	early map[jobs.ID]bool
+
+	dirty      []*job
+	committing bool
+	nextCommit time.Duration
+	renewAt    time.Duration
+	// unplaced is set when something happened that may let a task be placed.
+	unplaced    bool
+	failure     error
+	began       time.Duration
+	superviseAt time.Duration
+}
+
+// NewTerm returns a term of office for a holder.
+func NewTerm(opts Options, holder *duty.Holder) *Term {
+	return &Term{
+		opts: opts, holder: holder, events: make(chan func(), eventBacklog),
+		log:  opts.Logger.With().Uint64(logging.KeyEpoch, holder.Epoch()).Logger(),
+		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
+		unplaced: true,
+	}
+}
+
+// Run serves until the context ends or the duty is lost; the error says which.
+func (t *Term) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer t.holder.Abandon()
+	t.ctx = ctx
+	t.began = t.opts.Clock()
+	start, err := t.load()
+	if err != nil {
+		return err
+	}
+	go t.watchIntake(start.intake)
+	go t.watchWorkers(start.workers)
+	t.log.Info().Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
+		Dur("took", t.opts.Clock()-t.began).Msg("duty taken")
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		case event := <-t.events:
+			event()
+			t.drainEvents()
+		case <-ticker.C:
+		}
+		if err := t.advance(); err != nil {
+			return err
+		}
+	}
+}
+
+// drainEvents handles events that have queued up, so that they share one decision and one commit.
+func (t *Term) drainEvents() {
+	for range eventBacklog {
+		select {
+		case event := <-t.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// post hands a result to the control goroutine.
+func (t *Term) post(event func()) {
+	select {
+	case t.events <- event:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *Term) advance() error {
+	if t.failure != nil {
+		return t.failure
+	}
+	if !t.holder.Valid() {
+		return errors.WithStack(&duty.LapsedError{Age: t.holder.Age()})
+	}
+	now := t.opts.Clock()
+	t.refreshNodes(now)
+	t.expire(now)
+	t.supervise(now)
+	if t.unplaced {
+		t.unplaced = false
+		t.schedule(now)
+	}
+	t.commit(now)
+	t.look(now)
+	t.resend(now)
+	return nil
+}
+
+// fail ends the term after the current event.
+func (t *Term) fail(err error) {
+	if t.failure == nil {
+		t.failure = err
+	}
+}
+
+// touch marks a job as changed.
+func (t *Term) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		t.dirty = append(t.dirty, j)
+	}
+	j.sequence++
+	t.unplaced = true
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,310 @@
+// Package intake serves callers: it accepts and cancels jobs and tells their state. Every answer that promises
+// something follows a committed row, so that any instance can serve any caller.
+package intake
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"bronzehook/fault"
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/manifest"
+	"bronzehook/store"
+)
+
+// Timing of calls to the store on behalf of a caller.
+const (
+	// retryPause is the mean pause before a refused call is tried again.
+	retryPause = 40 * time.Millisecond
+	// refusedBudget bounds the time that refused calls are tried again, so that a refusal comes early.
+	refusedBudget = 250 * time.Millisecond
+	// reserve is kept back from a caller's deadline for the way of the answer.
+	reserve = 150 * time.Millisecond
+	// countAge is the greatest age of a count of pending jobs.
+	countAge = 700 * time.Millisecond
+	// outageAge is the time without a successful call after which requests are refused without a call.
+	outageAge = 700 * time.Millisecond
+	// maxTerminal bounds the states of ended jobs that are kept in memory.
+	maxTerminal = 20_000
+)
+
+// Health tells whether the store can be expected to answer.
+type Health interface {
+	Down(atLeast time.Duration) bool
+}
+
+// Service implements the callers' operations.
+type Service struct {
+	table    store.Table
+	health   Health
+	manifest *manifest.Holder
+	logger   zerolog.Logger
+
+	mu       sync.Mutex
+	counts   map[string]*count
+	terminal map[jobs.ID]jobs.PublicState
+}
+
+type count struct {
+	mu    sync.Mutex
+	value int
+	read  time.Time
+}
+
+// New returns a service.
+func New(table store.Table, health Health, holder *manifest.Holder, logger zerolog.Logger) *Service {
+	return &Service{
+		table: table, health: health, manifest: holder, logger: logger,
+		counts: make(map[string]*count), terminal: make(map[jobs.ID]jobs.PublicState),
+	}
+}
+
+// Manifest returns the manifest in force, or nil.
+func (s *Service) Manifest() *manifest.Manifest { return s.manifest.Current() }
+
+// OutageError refuses a request because the store has not answered for a while. The request has no effect.
+type OutageError struct{}
+
+// Error says what is missing.
+func (*OutageError) Error() string { return "the store does not answer" }
+
+// Code implements fault.Coded.
+func (*OutageError) Code() fault.Code { return fault.CodeStoreUnavailable }
+
+// UnknownJobError reports a job that was never accepted or has been forgotten.
+type UnknownJobError struct{ Job jobs.ID }
+
+// Error names the job.
+func (e *UnknownJobError) Error() string { return "no job " + string(e.Job) }
+
+// Code implements fault.Coded.
+func (*UnknownJobError) Code() fault.Code { return fault.CodeNotFound }
+
+// Submit stores a job. A job that is stored already is accepted again: it stays one job.
+func (s *Service) Submit(ctx context.Context, spec *jobs.Spec) error {
+	started := time.Now()
+	spec.Submitted = started.UnixMilli()
+	known, err := s.submit(ctx, spec)
+	event := s.logger.Info()
+	if err != nil {
+		event = s.logger.Warn().Str(logging.KeyReason, string(fault.CodeOf(err))).AnErr("error", err)
+	}
+	event.Str(logging.KeyRequest, string(spec.ID)).Str("queue", spec.Queue).Uint64(logging.KeyRevision, s.revision()).
+		Bool("known", known).Dur("took", time.Since(started)).Msg(outcomeText(err, "job accepted", "job refused"))
+	return err
+}
+
+func outcomeText(err error, good, bad string) string {
+	switch {
+	case err == nil:
+		return good
+	case fault.CodeOf(err) == fault.CodeOutcomeUnknown:
+		return "outcome unknown"
+	}
+	return bad
+}
+
+func (s *Service) revision() uint64 {
+	if m := s.manifest.Current(); m != nil {
+		return m.Version
+	}
+	return 0
+}
+
+func (s *Service) submit(ctx context.Context, spec *jobs.Spec) (known bool, err error) {
+	id := string(spec.ID)
+	state := jobs.PublicState{State: jobs.StateQueued, Queue: spec.Queue, Changed: spec.Submitted}
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: store.StateKey(id)}},
+		Puts: []store.Put{
+			{Key: store.StateKey(id), Value: jobs.Encode(&state)},
+			{Key: store.JobKey(id), Value: jobs.Encode(spec)},
+		},
+	}
+	if !spec.Scheduled() {
+		txn.Puts = append(txn.Puts, store.Put{Key: store.PendingKey(spec.Queue, id), Value: store.Present})
+	}
+	err = s.commit(ctx, txn)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return true, nil
+	}
+	return false, err
+}
+
+// commit applies a transaction whose conditions make it safe to send twice. Once an attempt has had no answer, only
+// success or a conflict settles the outcome; until then a refusal means that nothing was done.
+func (s *Service) commit(ctx context.Context, txn store.Txn) error {
+	if s.health.Down(outageAge) {
+		return errors.WithStack(&OutageError{})
+	}
+	started := time.Now()
+	open := false
+	for {
+		_, err := s.table.Commit(ctx, txn)
+		if err == nil || fault.CodeOf(err) == fault.CodeConflict {
+			return err
+		}
+		if fault.CodeOf(err) == fault.CodeOutcomeUnknown {
+			open = true
+		}
+		if !s.mayRetry(ctx, started, open) {
+			if open {
+				return errors.WithStack(&store.CallError{Call: "commit", Kind: fault.CodeOutcomeUnknown, Detail: err.Error()})
+			}
+			return err
+		}
+	}
+}
+
+// mayRetry pauses and reports whether another attempt is worth it.
+func (s *Service) mayRetry(ctx context.Context, started time.Time, open bool) bool {
+	if !open && time.Since(started) > refusedBudget {
+		return false
+	}
+	deadline, ok := ctx.Deadline()
+	if ok && time.Until(deadline) < reserve+retryPause {
+		return false
+	}
+	pause := time.NewTimer(retryPause/2 + rand.N(retryPause))
+	defer pause.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-pause.C:
+		return true
+	}
+}
+
+// State returns the state of a job.
+func (s *Service) State(ctx context.Context, queue string, id jobs.ID) (jobs.State, error) {
+	if state, ok := s.remembered(id); ok {
+		return state.State, nil
+	}
+	row, err := s.read(ctx, id)
+	if err != nil {
+		s.logger.Warn().Str(logging.KeyRequest, string(id)).Str("queue", queue).
+			Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("state not told")
+		return "", err
+	}
+	return row.State, nil
+}
+
+func (s *Service) remembered(id jobs.ID) (jobs.PublicState, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.terminal[id]
+	return state, ok
+}
+
+func (s *Service) remember(id jobs.ID, state jobs.PublicState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.terminal) >= maxTerminal {
+		clear(s.terminal)
+	}
+	s.terminal[id] = state
+}
+
+func (s *Service) read(ctx context.Context, id jobs.ID) (jobs.PublicState, error) {
+	state, _, err := s.readVersion(ctx, id)
+	return state, err
+}
+
+func (s *Service) readVersion(ctx context.Context, id jobs.ID) (jobs.PublicState, uint64, error) {
+	if s.health.Down(outageAge) {
+		return jobs.PublicState{}, 0, errors.WithStack(&OutageError{})
+	}
+	started := time.Now()
+	for {
+		rows, err := s.table.Range(ctx, store.TableStates, string(id), string(id)+"\x00", 1)
+		if err == nil {
+			return s.decodeState(id, rows)
+		}
+		if !s.mayRetry(ctx, started, false) {
+			return jobs.PublicState{}, 0, err
+		}
+	}
+}
+
+func (s *Service) decodeState(id jobs.ID, rows store.Changes) (jobs.PublicState, uint64, error) {
+	if len(rows.Rows) == 0 {
+		return jobs.PublicState{}, 0, errors.WithStack(&UnknownJobError{Job: id})
+	}
+	state, err := jobs.Decode[jobs.PublicState]("state", rows.Rows[0].Value)
+	if err != nil {
+		return jobs.PublicState{}, 0, err
+	}
+	if state.State.Terminal() {
+		s.remember(id, *state)
+	}
+	return *state, rows.Rows[0].Version, nil
+}
+
+// Cancel records that a job is cancelled. A job that has ended stays as it is.
+func (s *Service) Cancel(ctx context.Context, queue string, id jobs.ID) error {
+	state, err := s.cancel(ctx, id)
+	event := s.logger.Info()
+	if err != nil {
+		event = s.logger.Warn().Str(logging.KeyReason, string(fault.CodeOf(err)))
+	}
+	event.Str(logging.KeyRequest, string(id)).Str("queue", queue).Str("state", string(state)).
+		Msg(outcomeText(err, "job cancelled", "cancelling refused"))
+	return err
+}
+
+func (s *Service) cancel(ctx context.Context, id jobs.ID) (jobs.State, error) {
+	for {
+		state, version, err := s.readVersion(ctx, id)
+		if err != nil || state.State.Terminal() {
+			return state.State, err
+		}
+		cancelled := state
+		cancelled.State, cancelled.Changed = jobs.StateCancelled, time.Now().UnixMilli()
+		err = s.commit(ctx, store.Txn{
+			Conditions: []store.Condition{{Key: store.StateKey(string(id)), Version: version}},
+			Puts: []store.Put{
+				{Key: store.StateKey(string(id)), Value: jobs.Encode(&cancelled)},
+				{Key: store.CancelKey(string(id)), Value: store.Present},
+			},
+			Deletes: []store.Key{store.PendingKey(state.Queue, string(id))},
+		})
+		if err == nil {
+			s.remember(id, cancelled)
+			return cancelled.State, nil
+		}
+		if fault.CodeOf(err) != fault.CodeConflict {
+			return state.State, err
+		}
+	}
+}
+
+// Pending counts the accepted jobs of a queue of which no task has started.
+func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
+	s.mu.Lock()
+	c, ok := s.counts[queue]
+	if !ok {
+		c = &count{}
+		s.counts[queue] = c
+	}
+	s.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.read) < countAge {
+		return c.value, nil
+	}
+	started := time.Now()
+	from, to := store.PendingRange(queue)
+	rows, err := store.List(ctx, s.table, store.TablePending, from, to)
+	if err != nil {
+		return 0, err
+	}
+	c.value, c.read = len(rows.Rows), started
+	return c.value, nil
+}
--- /dev/null
+++ b/jobs/record.go
@@ -0,0 +1,77 @@
+package jobs
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"bronzehook/fault"
+)
+
+// TaskRecord is the progress of one task that has been placed at least once. It is stored before any effect of it can
+// be seen outside: an attempt is recorded before it is ordered, an end before the worker may forget it.
+type TaskRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Done       bool
+	Failures   int
+	// Attempt is the highest attempt number ever recorded for the task.
+	Attempt int
+	// Ended is the highest attempt number whose end has been counted.
+	Ended int
+	// Worker and Born name the life of the worker that may be running Attempt; empty if no worker may.
+	Worker string
+	Born   int64
+	// Checkpoint is the newest known checkpoint; empty means none.
+	Checkpoint string
+}
+
+// Record is the stored progress of a live job.
+type Record struct {
+	_     struct{} `cbor:",toarray"`
+	Tasks []TaskRecord
+}
+
+// PublicState is the stored answer to a caller's question about a job.
+type PublicState struct {
+	_     struct{} `cbor:",toarray"`
+	State State
+	Queue string
+	// Changed is when the state was written, in Unix milliseconds.
+	Changed int64
+}
+
+// CorruptRecordError reports a stored value that cannot be decoded.
+type CorruptRecordError struct {
+	Kind  string
+	Cause error
+}
+
+// Error names the kind of value.
+func (e *CorruptRecordError) Error() string { return "stored " + e.Kind + ": " + e.Cause.Error() }
+
+// Unwrap returns the codec's error.
+func (e *CorruptRecordError) Unwrap() error { return e.Cause }
+
+// Code implements fault.Coded.
+func (e *CorruptRecordError) Code() fault.Code { return fault.CodeInternal }
+
+// Encode returns the stored form of a Spec, Record or PublicState.
+func Encode[T Spec | Record | PublicState](value *T) []byte {
+	encoded, err := cbor.Marshal(value)
+	if err != nil {
+		// The three types hold only integers, texts and slices, which always encode.
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encoding a %T", value))
+	}
+	return encoded
+}
+
+// Decode reads what Encode returned.
+func Decode[T Spec | Record | PublicState](kind string, encoded []byte) (*T, error) {
+	var value T
+	if err := cbor.Unmarshal(encoded, &value); err != nil {
+		return nil, errors.WithStack(&CorruptRecordError{Kind: kind, Cause: err})
+	}
+	return &value, nil
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,207 @@
+// Package placement chooses workers for tasks. Choices are pure functions over the accounts of the workers; the caller
+// reserves what was chosen.
+package placement
+
+import (
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/workers"
+)
+
+// Node is the account of one worker: what it has and what attempts on it may be using.
+type Node struct {
+	Entry workers.Entry
+	// Usable is false while the worker is draining, unreachable or not yet known.
+	Usable bool
+	// Used counts every attempt that may be running, including those that are being stopped.
+	Used jobs.Resources
+	// FillerCPU is the processor time that filler tasks ask for, in thousandths of a core.
+	FillerCPU int
+	// Serving and Fillers count tasks with a latency target and filler tasks.
+	Serving int
+	Fillers int
+	// Suspect delays placement on a worker that failed, stalled or refused; larger is worse.
+	Suspect int
+}
+
+// Free is what is left for tasks that count against the capacity.
+func (n *Node) Free() jobs.Resources { return n.Entry.Capacity.Sub(n.Used) }
+
+// Leftover is the processor time left for further filler tasks, in thousandths of a core.
+func (n *Node) Leftover() int { return n.Entry.Capacity.CPU - n.Used.CPU - n.FillerCPU }
+
+// Reserve counts a task of a step.
+func (n *Node) Reserve(step *jobs.Step) { n.account(step, 1) }
+
+// Release undoes Reserve.
+func (n *Node) Release(step *jobs.Step) { n.account(step, -1) }
+
+func (n *Node) account(step *jobs.Step, sign int) {
+	r := step.Reserved()
+	n.Used.CPU += sign * r.CPU
+	n.Used.MemoryMB += sign * r.MemoryMB
+	n.Used.GPU += sign * r.GPU
+	if step.Filler {
+		n.FillerCPU += sign * step.Resources.CPU
+		n.Fillers += sign
+	}
+	if step.Serves() {
+		n.Serving += sign
+	}
+}
+
+// Reason says why a task was not placed.
+type Reason string
+
+// The reasons, from the least to the most specific.
+const (
+	ReasonNone      Reason = ""
+	ReasonNoWorker  Reason = "no-worker"
+	ReasonNoLabel   Reason = "no-worker-with-label"
+	ReasonTooLarge  Reason = "larger-than-any-worker"
+	ReasonNoRoom    Reason = "no-room"
+	ReasonSpread    Reason = "spread-over-workers"
+	ReasonSeparated Reason = "kept-apart-from-serving-tasks"
+)
+
+// Request asks for a worker for one task.
+type Request struct {
+	Step    *jobs.Step
+	Service string
+	// OnNode counts the tasks of the same step and occurrence on a worker.
+	OnNode func(workers.ID) int
+	// RackInUse is the rack of the other tasks of a rack-sensitive step; empty if there are none.
+	RackInUse string
+	// Avoid names a worker on which the task did not get on; empty if there is none.
+	Avoid workers.ID
+}
+
+// Choose returns the best worker, or nil and why there is none.
+func Choose(nodes []*Node, request Request) (*Node, Reason) {
+	var best *Node
+	var bestScore float64
+	reason := ReasonNoWorker
+	for _, node := range nodes {
+		refused := check(node, &request)
+		if refused != ReasonNone {
+			reason = moreSpecific(reason, refused)
+			continue
+		}
+		if score := rank(node, &request); best == nil || score > bestScore {
+			best, bestScore = node, score
+		}
+	}
+	if best != nil {
+		return best, ReasonNone
+	}
+	return nil, reason
+}
+
+var specificity = map[Reason]int{
+	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonNoRoom: 5,
+}
+
+func moreSpecific(a, b Reason) Reason {
+	if specificity[b] > specificity[a] {
+		return b
+	}
+	return a
+}
+
+// check reports why a worker cannot take a task; ReasonNone means that it can.
+func check(node *Node, request *Request) Reason {
+	step := request.Step
+	switch {
+	case !node.Usable || node.Entry.Service != request.Service:
+		return ReasonNoWorker
+	case step.Requires != "" && !node.Entry.HasLabel(step.Requires):
+		return ReasonNoLabel
+	case !step.Reserved().Fits(node.Entry.Capacity):
+		return ReasonTooLarge
+	case !step.Reserved().Fits(node.Free()):
+		return ReasonNoRoom
+	case step.AntiAffinity > 0 && request.OnNode(node.Entry.ID) >= step.AntiAffinity:
+		return ReasonSpread
+	}
+	if step.Filler {
+		return checkFiller(node, step)
+	}
+	if step.Serves() && node.Fillers > 0 {
+		return ReasonSeparated
+	}
+	return ReasonNone
+}
+
+// checkFiller keeps filler tasks away from serving tasks, whose response times they would spoil, and starts no more
+// than the leftover processors can carry at full speed.
+func checkFiller(node *Node, step *jobs.Step) Reason {
+	if node.Serving > 0 {
+		return ReasonSeparated
+	}
+	if node.Leftover() < step.Resources.CPU && node.Fillers > 0 {
+		return ReasonNoRoom
+	}
+	return ReasonNone
+}
+
+// Weights of the ranking. Data far away multiplies a task's duration and outweighs all but a suspicion.
+const (
+	weightSuspect  = 1000.0
+	weightAvoid    = 500.0
+	weightAffinity = 100.0
+	weightRack     = 50.0
+	weightKind     = 10.0
+)
+
+func rank(node *Node, request *Request) float64 {
+	step := request.Step
+	score := -weightSuspect * float64(node.Suspect)
+	if node.Entry.ID == request.Avoid {
+		score -= weightAvoid
+	}
+	if step.Affinity != "" && node.Entry.HasLabel(step.Affinity) {
+		score += weightAffinity
+	}
+	if step.RackSensitive && request.RackInUse != "" && node.Entry.Rack == request.RackInUse {
+		score += weightRack
+	}
+	capacity := float64(max(1, node.Entry.Capacity.CPU))
+	free := float64(node.Free().CPU) / capacity
+	switch {
+	case step.Filler:
+		return score + float64(node.Leftover())/capacity
+	case step.Serves():
+		// Serving tasks are packed, so that fillers find workers of their own.
+		if node.Serving > 0 {
+			score += weightKind
+		}
+		return score - free
+	}
+	// Other tasks disturb nobody: they go where fillers may not, else where the most is free.
+	if node.Serving > 0 {
+		score += weightKind
+	}
+	return score + free
+}
+
+// Objective returns how long a job may take to earn its full worth: stretch times its longest chain, plus a constant.
+func Objective(spec *jobs.Spec, stretch float64, target time.Duration) time.Duration {
+	return time.Duration(stretch*float64(Chain(spec, 0))) + target
+}
+
+// Chain returns the estimated duration of the longest chain of steps from the first of which is from.
+func Chain(spec *jobs.Spec, from int) time.Duration {
+	lengths := make([]time.Duration, len(spec.Steps))
+	var longest time.Duration
+	for i := from; i < len(spec.Steps); i++ {
+		step := &spec.Steps[i]
+		var before time.Duration
+		for _, earlier := range step.After {
+			before = max(before, lengths[earlier])
+		}
+		lengths[i] = before + step.Estimate
+		longest = max(longest, lengths[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,189 @@
+// Package store declares the transactional table that keeps everything that has to outlive a process, and the layout
+// of the product's own rows in it.
+//
+// Failures carry codes of package fault: CodeConflict if a condition did not hold, CodeStoreUnavailable if nothing was
+// done, CodeOutcomeUnknown if a write may take effect now or later, CodeExpired if the wanted history is gone.
+package store
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"bronzehook/fault"
+)
+
+// Key names a row.
+type Key struct {
+	Table string
+	Name  string
+}
+
+// Row is one row. Version grows with every transaction that touches the row; 0 means that the row is absent.
+type Row struct {
+	Key
+	Value   []byte
+	Version uint64
+	// Deleted is set in changes only.
+	Deleted bool
+}
+
+// Condition requires a row to have a version. Version 0 requires that the row is absent.
+type Condition struct {
+	Key     Key
+	Version uint64
+}
+
+// Put sets a row.
+type Put struct {
+	Key   Key
+	Value []byte
+}
+
+// Txn is applied as a whole, if all conditions hold, or not at all.
+type Txn struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []Key
+}
+
+// Len is the number of entries, which a store bounds by MaxEntries.
+func (t *Txn) Len() int { return len(t.Conditions) + len(t.Puts) + len(t.Deletes) }
+
+// MaxEntries and MaxBytes bound one transaction.
+const (
+	MaxEntries = 100
+	MaxBytes   = 900_000
+)
+
+// Changes is a consistent excerpt of a table or of its history up to Version.
+type Changes struct {
+	Rows    []Row
+	Version uint64
+	// More says that rows behind the last one were left out.
+	More bool
+}
+
+// Table is the store.
+type Table interface {
+	// Commit returns the version of the transaction. On a conflict the error is a *ConflictError.
+	Commit(ctx context.Context, txn Txn) (uint64, error)
+	// Range returns rows of a table with from <= name < to in ascending order; an empty to means no upper end.
+	Range(ctx context.Context, table, from, to string, limit int) (Changes, error)
+	// Watch waits for changes of a table after a version, at most for wait.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+}
+
+// ConflictError reports that a condition did not hold; nothing was applied.
+type ConflictError struct {
+	// Current holds the rows named in the conditions as they are.
+	Current []Row
+}
+
+// Error says how many rows were compared.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("a condition on one of %d rows did not hold", len(e.Current))
+}
+
+// Code implements fault.Coded.
+func (e *ConflictError) Code() fault.Code { return fault.CodeConflict }
+
+// Find returns the current row of a key, or an absent row.
+func (e *ConflictError) Find(key Key) Row {
+	for _, row := range e.Current {
+		if row.Key == key {
+			return row
+		}
+	}
+	return Row{Key: key}
+}
+
+// CallError reports a call that failed for a reason other than a condition.
+type CallError struct {
+	Call   string
+	Kind   fault.Code
+	Detail string
+}
+
+// Error names the call and what went wrong.
+func (e *CallError) Error() string { return e.Call + ": " + string(e.Kind) + ": " + e.Detail }
+
+// Code implements fault.Coded.
+func (e *CallError) Code() fault.Code { return e.Kind }
+
+// Tables of the product.
+const (
+	// TableIntake holds accepted jobs that have not ended and requests to cancel; it is the duty holder's inbox.
+	TableIntake = "intake"
+	// TableStates holds what callers are told, one row a job.
+	TableStates = "states"
+	// TableProgress holds the records of live jobs.
+	TableProgress = "progress"
+	// TablePending holds one empty row for each accepted job of which no task has started.
+	TablePending = "pending"
+	// TableDuty holds the row of the duty.
+	TableDuty = "duty"
+)
+
+// Prefixes of the names in TableIntake.
+const (
+	prefixJob    = "j/"
+	prefixCancel = "c/"
+)
+
+// JobKey names the row with the specification of a job.
+func JobKey(id string) Key { return Key{TableIntake, prefixJob + id} }
+
+// CancelKey names the row that asks to cancel a job.
+func CancelKey(id string) Key { return Key{TableIntake, prefixCancel + id} }
+
+// Present is the value of rows of which only the existence matters. Stores refuse empty values.
+var Present = []byte{1}
+
+// ParseIntake splits a name of TableIntake into the job and whether the row asks to cancel it.
+func ParseIntake(name string) (id string, cancel, ok bool) {
+	if len(name) <= len(prefixJob) {
+		return "", false, false
+	}
+	switch name[:len(prefixJob)] {
+	case prefixJob:
+		return name[len(prefixJob):], false, true
+	case prefixCancel:
+		return name[len(prefixCancel):], true, true
+	}
+	return "", false, false
+}
+
+// StateKey names the row with the public state of a job.
+func StateKey(id string) Key { return Key{TableStates, id} }
+
+// ProgressKey names the row with the record of a job.
+func ProgressKey(id string) Key { return Key{TableProgress, id} }
+
+// PendingKey names the row of a job that has not begun.
+func PendingKey(queue, id string) Key { return Key{TablePending, queue + "/" + id} }
+
+// PendingRange returns the bounds of the names in TablePending of a queue.
+func PendingRange(queue string) (from, to string) { return queue + "/", queue + "0" }
+
+// PageSize is the largest number of rows that one Range returns.
+const PageSize = 500
+
+// List reads all rows of a table. Version is that of the first page, so that a Watch from there misses nothing.
+func List(ctx context.Context, table Table, name, from, to string) (Changes, error) {
+	var all Changes
+	for {
+		page, err := table.Range(ctx, name, from, to, PageSize)
+		if err != nil {
+			return Changes{}, err
+		}
+		if all.Version == 0 {
+			all.Version = page.Version
+		}
+		all.Rows = append(all.Rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return all, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+}
