Log a line that sums up the fleet every 2 s

Cause: nothing told why plans waited. Change: the duty holder logs usable, serving and filler workers, free and left-over processors.

--- /dev/null
+++ b/execution/stock.go
@@ -0,0 +1,48 @@
+package execution
+
+import "time"
+
+// stockEvery is the time between two log lines that sum up the fleet.
+const stockEvery = 2 * time.Second
+
+// logStock sums up the fleet, so that a log alone tells why work waited.
+func (t *Term) logStock(now time.Duration) {
+	if now < t.stockAt {
+		return
+	}
+	t.stockAt = now + stockEvery
+	var usable, silent, servingNodes, fillerNodes, free, leftover, serving, fillers, other int
+	for _, w := range t.workers {
+		n := &w.node
+		if w.lookFailures > 0 {
+			silent++
+		}
+		if !n.Usable {
+			continue
+		}
+		usable++
+		free += n.Free().CPU
+		serving += n.Serving
+		fillers += n.Fillers
+		other += len(w.runs) - n.Serving - n.Fillers
+		switch {
+		case n.Serving > 0:
+			servingNodes++
+		case n.Fillers > 0:
+			fillerNodes++
+			leftover += n.Leftover()
+		default:
+			leftover += n.Leftover()
+		}
+	}
+	waiting := 0
+	for _, j := range t.jobs {
+		if !j.begun {
+			waiting++
+		}
+	}
+	t.log.Info().Int("jobs", len(t.jobs)).Int("not_begun", waiting).Int("usable", usable).Int("silent", silent).
+		Int("serving_workers", servingNodes).Int("filler_workers", fillerNodes).Int("free_cpu", free).
+		Int("leftover_cpu", leftover).Int("serving", serving).Int("fillers", fillers).Int("other", other).
+		Dur("duty_age", t.holder.Age()).Msg("fleet")
+}
--- a/execution/term.go
+++ b/execution/term.go
@@ -72,6 +72,7 @@
 	failure     error
 	began       time.Duration
 	superviseAt time.Duration
+	stockAt     time.Duration
 }
 
 // NewTerm returns a term of office for a holder.
@@ -147,6 +148,7 @@
 	t.refreshNodes(now)
 	t.expire(now)
 	t.supervise(now)
+	t.logStock(now)
 	if t.unplaced {
 		t.unplaced = false
 		t.schedule(now)
