Run fillers beside serving tasks by learned disturbance

Cause: fillers kept apart from 219 serving tasks had 8 of 48 workers, so that plans starved. Change: a model of the disturbance by pairs of images, taught by every inventory, admits fillers; one that still disturbs is slowed down and then moved. Headroom for urgent short work is kept free on each worker.

--- a/execution/feeds.go
+++ b/execution/feeds.go
@@ -184,12 +184,16 @@
 
 // refreshNodes brings the accounts' usability up to date.
 func (t *Term) refreshNodes(now time.Duration) {
+	t.usable = 0
 	for _, w := range t.workers {
 		usable := w.listed && w.fenced && !w.node.Entry.Draining && w.lookFailures == 0 && len(w.foreign) == 0
 		if usable && !w.node.Usable {
 			t.unplaced = true
 		}
 		w.node.Usable = usable
+		if usable {
+			t.usable++
+		}
 		w.node.Suspect = 0
 		if now < w.restUntil {
 			w.node.Suspect = 1
--- a/execution/looks.go
+++ b/execution/looks.go
@@ -43,6 +43,9 @@
 	}
 	if w.fenced && len(w.runs) > 0 && len(w.acks) == 0 && len(w.foreign) == 0 {
 		order.Wait = lookWait
+		if w.mixed() {
+			order.Wait = mixedLookWait
+		}
 	}
 	w.looking = true
 	go func() {
@@ -86,6 +89,7 @@
 		}
 	}
 	t.reconcile(w, sent, now, inventory)
+	t.measure(w)
 	t.releaseAcks()
 	w.nextLook = now
 	if len(w.acks) > 0 {
--- a/execution/model.go
+++ b/execution/model.go
@@ -50,6 +50,10 @@
 	stopAt    time.Duration
 	stopCause string
 
+	// paced is set once a filler was slowed down for the sake of serving tasks.
+	paced   bool
+	pacedAt time.Duration
+
 	percent int
 	usage   int
 	movedAt time.Duration
@@ -154,6 +158,9 @@
 	// deadBy is when every lease granted to anything on the worker has certainly run out.
 	deadBy time.Duration
 
+	// relievedAt is when a filler was last slowed down.
+	relievedAt time.Duration
+
 	failStreak int
 	restUntil  time.Duration
 }
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -133,7 +133,7 @@
 
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
-		Step: one.step, Service: j.queue.Service, Avoid: one.avoid,
+		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(j),
 		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
 	}
 	if one.step.RackSensitive {
@@ -197,7 +197,7 @@
 	rack := ""
 	for range tasks {
 		node, reason := placement.Choose(t.nodes.all, placement.Request{
-			Step: step, Service: j.queue.Service, RackInUse: rack, OnNode: func(id workers.ID) int { return onNode[id] },
+			Step: step, Service: j.queue.Service, RackInUse: rack, Disturbance: t.disturbance, OnNode: func(id workers.ID) int { return onNode[id] },
 		})
 		if node == nil {
 			t.opts.Metrics.unplaced(string(reason))
--- a/execution/supervise.go
+++ b/execution/supervise.go
@@ -20,7 +20,9 @@
 	}
 	t.superviseAt = now + superviseEvery
 	t.unplaced = true
+	t.observeUrgent(now)
 	for _, w := range t.workers {
+		t.relieve(w, now)
 		for _, r := range w.runs {
 			if r.stopping || r.phase != phaseRunning {
 				continue
--- a/execution/term.go
+++ b/execution/term.go
@@ -11,6 +11,7 @@
 	"bronzehook/jobs"
 	"bronzehook/logging"
 	"bronzehook/manifest"
+	"bronzehook/placement"
 	"bronzehook/store"
 	"bronzehook/workers"
 )
@@ -63,6 +64,12 @@
 	// early holds cancellations of jobs that are not known yet.
 	early map[jobs.ID]bool
 
+	disturbance *placement.Disturbance
+	urgent      demand
+	// urgentInUse is what urgent tasks use now; usable counts the usable workers.
+	urgentInUse int
+	usable      int
+
 	dirty      []*job
 	committing bool
 	nextCommit time.Duration
@@ -81,7 +88,7 @@
 		opts: opts, holder: holder, events: make(chan func(), eventBacklog),
 		log:  opts.Logger.With().Uint64(logging.KeyEpoch, holder.Epoch()).Logger(),
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
-		unplaced: true,
+		unplaced: true, disturbance: placement.NewDisturbance(),
 	}
 }
 
--- /dev/null
+++ b/placement/disturbance.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"bronzehook/jobs"
+)
+
+// Parameters of the learning of disturbance.
+const (
+	// priorSlope is assumed for a pair of images that was never seen together: the growth of the logarithm of the
+	// response times when the filler uses a whole worker.
+	priorSlope = 1.2
+	maxSlope   = 30.0
+	// learningRate weighs one sample; baseRate one sample of an image's undisturbed response times.
+	learningRate = 0.15
+	baseRate     = 0.02
+	// regularisation keeps samples with little filler work from changing much.
+	regularisation = 0.02
+	// admitBelow and pressAbove are shares of the latency target. Up to the first a prediction lets more filler work
+	// in; from the second on what was measured has filler work slowed down.
+	admitBelow = 0.72
+	pressAbove = 0.88
+	// defaultBase is the share of the target that an unknown image is taken to need undisturbed.
+	defaultBase = 0.5
+	// servingUse is the share of their processors that serving tasks use on average.
+	servingUse = 0.5
+)
+
+// Disturbance learns how much filler tasks slow the answers of serving tasks beside them, by pairs of images. It is not
+// safe for concurrent use.
+type Disturbance struct {
+	slopes map[pair]float64
+	shared map[string]float64
+	base   map[string]float64
+}
+
+type pair struct{ serving, filler string }
+
+// NewDisturbance returns a model that knows nothing.
+func NewDisturbance() *Disturbance {
+	return &Disturbance{
+		slopes: make(map[pair]float64), shared: make(map[string]float64), base: make(map[string]float64),
+	}
+}
+
+// Slope is the learned growth of the logarithm of the serving image's response times per worker of filler work.
+func (d *Disturbance) Slope(serving, filler string) float64 {
+	shared, ok := d.shared[filler]
+	if !ok {
+		shared = priorSlope
+	}
+	return math.Max(0, shared+d.slopes[pair{serving, filler}])
+}
+
+// Sample is one measurement of a serving task.
+type Sample struct {
+	Image string
+	// Tail is the measured tail of the response times.
+	Tail time.Duration
+	// Fillers holds the share of the worker that fillers of each image use, 0 to 1.
+	Fillers map[string]float64
+}
+
+// Learn takes up a sample.
+func (d *Disturbance) Learn(s Sample) {
+	if s.Tail <= 0 {
+		return
+	}
+	observed := math.Log(s.Tail.Seconds())
+	base, known := d.base[s.Image]
+	if !known {
+		base = observed
+	}
+	predicted, norm := base, regularisation
+	for filler, share := range s.Fillers {
+		predicted += d.Slope(s.Image, filler) * share
+		norm += share * share
+	}
+	miss := observed - predicted
+	d.base[s.Image] = base + baseRate*miss
+	for filler, share := range s.Fillers {
+		step := learningRate * miss * share / norm
+		shared, ok := d.shared[filler]
+		if !ok {
+			shared = priorSlope
+		}
+		d.shared[filler] = clamp(shared+step/2, 0, maxSlope)
+		p := pair{s.Image, filler}
+		d.slopes[p] = clamp(d.slopes[p]+step/2, -maxSlope, maxSlope)
+	}
+}
+
+func clamp(x, low, high float64) float64 { return math.Max(low, math.Min(high, x)) }
+
+// predict returns the predicted share of the target that a serving image's tail takes on a node with extra filler work.
+func (d *Disturbance) predict(node *Node, image string, serving *Serving, extraImage string, extra float64) float64 {
+	target := math.Log(serving.Target.Seconds())
+	base, known := d.base[image]
+	if !known {
+		base = target + math.Log(defaultBase)
+	}
+	added := d.Slope(image, extraImage) * extra
+	model := base + added
+	for filler, cpu := range node.FillerByImage {
+		model += d.Slope(image, filler) * node.share(cpu)
+	}
+	if serving.Tail > 0 {
+		// What is measured already counts even if the model does not know why.
+		model = math.Max(model, math.Log(serving.Tail.Seconds())+added)
+	}
+	return math.Exp(model - target)
+}
+
+// Admits reports whether a filler task may join the serving tasks of a node.
+func (d *Disturbance) Admits(node *Node, step *jobs.Step) bool {
+	extra := node.share(step.Resources.CPU)
+	for image, serving := range node.ServingByImage {
+		if d.predict(node, image, serving, step.Image, extra) > admitBelow {
+			return false
+		}
+	}
+	return true
+}
+
+// Stress is the largest predicted share of a target on a node if a serving task joined its fillers.
+func (d *Disturbance) Stress(node *Node, step *jobs.Step) float64 {
+	return d.predict(node, step.Image, &Serving{Target: step.LatencyTarget}, "", 0)
+}
+
+// Pressed returns by how much the worst measured tail of a node's serving tasks exceeds the share of its target from
+// which filler work is slowed down; 0 if none does.
+func (d *Disturbance) Pressed(node *Node) (image string, excess float64) {
+	for name, serving := range node.ServingByImage {
+		if serving.Target <= 0 {
+			continue
+		}
+		over := serving.Tail.Seconds()/serving.Target.Seconds() - pressAbove
+		if over > excess {
+			image, excess = name, over
+		}
+	}
+	return image, excess
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,20 +16,37 @@
 	Usable bool
 	// Used counts every attempt that may be running, including those that are being stopped.
 	Used jobs.Resources
-	// FillerCPU is the processor time that filler tasks ask for, in thousandths of a core.
-	FillerCPU int
+	// FillerCPU and ServingCPU are the processors that filler and serving tasks ask for, in thousandths of a core.
+	FillerCPU  int
+	ServingCPU int
 	// Serving and Fillers count tasks with a latency target and filler tasks.
 	Serving int
 	Fillers int
+	// FillerByImage splits FillerCPU; ServingByImage holds the serving tasks.
+	FillerByImage  map[string]int
+	ServingByImage map[string]*Serving
 	// Suspect delays placement on a worker that failed, stalled or refused; larger is worse.
 	Suspect int
 }
 
+// Serving sums up the serving tasks of one image on a worker.
+type Serving struct {
+	Count  int
+	Target time.Duration
+	// Tail is the worst tail at the last measurement; 0 if there is none.
+	Tail time.Duration
+}
+
+func (n *Node) share(cpu int) float64 { return float64(cpu) / float64(max(1, n.Entry.Capacity.CPU)) }
+
 // Free is what is left for tasks that count against the capacity.
 func (n *Node) Free() jobs.Resources { return n.Entry.Capacity.Sub(n.Used) }
 
-// Leftover is the processor time left for further filler tasks, in thousandths of a core.
-func (n *Node) Leftover() int { return n.Entry.Capacity.CPU - n.Used.CPU - n.FillerCPU }
+// Leftover is the processor time that further filler tasks would find unused, in thousandths of a core.
+func (n *Node) Leftover() int {
+	idle := int((1 - servingUse) * float64(n.ServingCPU))
+	return n.Entry.Capacity.CPU - n.Used.CPU + idle - n.FillerCPU
+}
 
 // Reserve counts a task of a step.
 func (n *Node) Reserve(step *jobs.Step) { n.account(step, 1) }
@@ -43,11 +60,40 @@
 	n.Used.MemoryMB += sign * r.MemoryMB
 	n.Used.GPU += sign * r.GPU
 	if step.Filler {
-		n.FillerCPU += sign * step.Resources.CPU
-		n.Fillers += sign
+		n.accountFiller(step, sign)
 	}
 	if step.Serves() {
-		n.Serving += sign
+		n.accountServing(step, sign)
+	}
+}
+
+func (n *Node) accountFiller(step *jobs.Step, sign int) {
+	n.FillerCPU += sign * step.Resources.CPU
+	n.Fillers += sign
+	if n.FillerByImage == nil {
+		n.FillerByImage = make(map[string]int)
+	}
+	n.FillerByImage[step.Image] += sign * step.Resources.CPU
+	if n.FillerByImage[step.Image] <= 0 {
+		delete(n.FillerByImage, step.Image)
+	}
+}
+
+func (n *Node) accountServing(step *jobs.Step, sign int) {
+	n.ServingCPU += sign * step.Resources.CPU
+	n.Serving += sign
+	if n.ServingByImage == nil {
+		n.ServingByImage = make(map[string]*Serving)
+	}
+	serving := n.ServingByImage[step.Image]
+	if serving == nil {
+		serving = &Serving{Target: step.LatencyTarget}
+		n.ServingByImage[step.Image] = serving
+	}
+	serving.Count += sign
+	serving.Target = min(serving.Target, step.LatencyTarget)
+	if serving.Count <= 0 {
+		delete(n.ServingByImage, step.Image)
 	}
 }
 
@@ -63,6 +109,7 @@
 	ReasonNoRoom    Reason = "no-room"
 	ReasonSpread    Reason = "spread-over-workers"
 	ReasonSeparated Reason = "kept-apart-from-serving-tasks"
+	ReasonHeadroom  Reason = "headroom-for-more-urgent-tasks"
 )
 
 // Request asks for a worker for one task.
@@ -75,6 +122,10 @@
 	RackInUse string
 	// Avoid names a worker on which the task did not get on; empty if there is none.
 	Avoid workers.ID
+	// Disturbance predicts the effect of fillers on serving tasks.
+	Disturbance *Disturbance
+	// Headroom is kept free on each worker for more urgent tasks, in thousandths of a core.
+	Headroom int
 }
 
 // Choose returns the best worker, or nil and why there is none.
@@ -99,7 +150,7 @@
 }
 
 var specificity = map[Reason]int{
-	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonNoRoom: 5,
+	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
 }
 
 func moreSpecific(a, b Reason) Reason {
@@ -121,27 +172,27 @@
 		return ReasonTooLarge
 	case !step.Reserved().Fits(node.Free()):
 		return ReasonNoRoom
+	case !step.Filler && node.Free().CPU-step.Resources.CPU < request.Headroom:
+		return ReasonHeadroom
 	case step.AntiAffinity > 0 && request.OnNode(node.Entry.ID) >= step.AntiAffinity:
 		return ReasonSpread
 	}
 	if step.Filler {
-		return checkFiller(node, step)
-	}
-	if step.Serves() && node.Fillers > 0 {
-		return ReasonSeparated
+		return checkFiller(node, request)
 	}
 	return ReasonNone
 }
 
-// checkFiller keeps filler tasks away from serving tasks, whose response times they would spoil, and starts no more
-// than the leftover processors can carry at full speed.
-func checkFiller(node *Node, step *jobs.Step) Reason {
-	if node.Serving > 0 {
-		return ReasonSeparated
-	}
+// checkFiller keeps filler tasks away from serving tasks whose response times they would spoil, and starts no more than
+// the leftover processors can carry at full speed.
+func checkFiller(node *Node, request *Request) Reason {
+	step := request.Step
 	if node.Leftover() < step.Resources.CPU && node.Fillers > 0 {
 		return ReasonNoRoom
 	}
+	if node.Serving > 0 && (request.Disturbance == nil || !request.Disturbance.Admits(node, step)) {
+		return ReasonSeparated
+	}
 	return ReasonNone
 }
 
@@ -170,18 +221,21 @@
 	free := float64(node.Free().CPU) / capacity
 	switch {
 	case step.Filler:
+		// The more a filler disturbs, the more a worker without serving tasks is worth to it.
+		if node.Serving > 0 && request.Disturbance != nil {
+			for image := range node.ServingByImage {
+				score -= request.Disturbance.Slope(image, step.Image)
+			}
+		}
 		return score + float64(node.Leftover())/capacity
 	case step.Serves():
-		// Serving tasks are packed, so that fillers find workers of their own.
-		if node.Serving > 0 {
-			score += weightKind
+		// Serving tasks are packed, so that fillers that disturb find workers of their own, unless fillers that
+		// disturb are there already.
+		if request.Disturbance != nil && node.Fillers > 0 && request.Disturbance.Stress(node, step) > admitBelow {
+			score -= weightKind
 		}
 		return score - free
 	}
-	// Other tasks disturb nobody: they go where fillers may not, else where the most is free.
-	if node.Serving > 0 {
-		score += weightKind
-	}
 	return score + free
 }
 
