Keep headroom for short work against tasks that last

Cause: serving tasks took all processors before short work arrived. Change: demand of urgent and of all short work is remembered with a slow decay and kept free, spread over the workers.

--- a/execution/feeds.go
+++ b/execution/feeds.go
@@ -184,7 +184,7 @@
 
 // refreshNodes brings the accounts' usability up to date.
 func (t *Term) refreshNodes(now time.Duration) {
-	t.usable = 0
+	t.usable, t.capacity = 0, 0
 	for _, w := range t.workers {
 		usable := w.listed && w.fenced && !w.node.Entry.Draining && w.lookFailures == 0 && len(w.foreign) == 0
 		if usable && !w.node.Usable {
@@ -193,6 +193,7 @@
 		w.node.Usable = usable
 		if usable {
 			t.usable++
+			t.capacity += w.node.Entry.Capacity.CPU
 		}
 		w.node.Suspect = 0
 		if now < w.restUntil {
--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -5,57 +5,85 @@
 // Parameters of the headroom for urgent work.
 const (
 	// demandDecay is how fast the remembered peak of urgent work is forgotten, per second.
-	demandDecay = 0.05
-	// headroomFactor times the remembered peak is kept free for urgent tasks.
-	headroomFactor = 1.2
+	demandDecay = 0.04
+	// headroomFactor times the remembered peak is kept free.
+	headroomFactor = 1.25
+	// maxHeadroomShare bounds the headroom, as a share of the capacity.
+	maxHeadroomShare = 0.25
 )
 
-// demand remembers the processors that the most urgent short tasks use at their peak, in thousandths of a core.
+// demand remembers the processors that a kind of work needs at its peak, in thousandths of a core.
 type demand struct {
-	peak float64
-	at   time.Duration
-	// largest is the largest single task seen.
-	largest int
+	peak  float64
+	inUse int
+	at    time.Duration
 }
 
-// observe takes up the present use.
-func (d *demand) observe(cpu int, now time.Duration) {
+// observe takes up what runs and what waits.
+func (d *demand) observe(inUse, waiting int, now time.Duration) {
 	if d.at > 0 {
 		d.peak *= 1 - demandDecay*(now-d.at).Seconds()
 	}
-	d.at = now
-	d.peak = max(d.peak, float64(cpu))
+	d.at, d.inUse = now, inUse
+	d.peak = max(d.peak, float64(inUse+waiting))
 }
 
-// isUrgent reports whether a task is one that headroom is kept for: short work of the first priority.
-func isUrgent(t *task) bool {
-	return t.job.queue.Priority == 0 && !t.step.LongRunning && !t.step.Filler
-}
+// missing is what has to be kept free for the work to reach its peak.
+func (d *demand) missing() float64 { return max(0, headroomFactor*d.peak-float64(d.inUse)) }
 
-// observeUrgent sums up urgent work that runs or waits.
-func (t *Term) observeUrgent(now time.Duration) {
-	cpu := 0
-	for _, w := range t.workers {
-		for _, r := range w.runs {
-			if isUrgent(r.task) {
-				cpu += r.task.step.Resources.CPU
-				t.urgent.largest = max(t.urgent.largest, r.task.step.Resources.CPU)
+// observeDemand sums up short work that counts against the capacity: that of the first priority, and all.
+func (t *Term) observeDemand(now time.Duration) {
+	var urgentUse, urgentWait, shortUse, shortWait int
+	for _, j := range t.order {
+		if j.ended || j.terminal() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o == nil {
+				continue
+			}
+			use, wait := shortDemand(t, j, o)
+			shortUse += use
+			shortWait += wait
+			if j.queue.Priority == 0 {
+				urgentUse += use
+				urgentWait += wait
 			}
 		}
 	}
-	t.urgentInUse = cpu
-	t.urgent.observe(cpu, now)
+	t.urgent.observe(urgentUse, urgentWait, now)
+	t.short.observe(shortUse, shortWait, now)
 }
 
-// headroom is what a task of a job has to leave free on each worker. Headroom is spread over the workers, and lent to
-// less urgent work only as fillers, which give way by themselves.
-func (t *Term) headroom(j *job) int {
-	if j.queue.Priority == 0 || t.usable == 0 {
-		return 0
+func shortDemand(t *Term, j *job, o *occurrence) (use, wait int) {
+	for s := range o.steps {
+		step := &j.spec.Steps[s]
+		if step.LongRunning || step.Filler || o.left[s] == 0 || !t.stepReady(j, o, s) {
+			continue
+		}
+		for _, task := range o.steps[s] {
+			switch {
+			case task.run != nil:
+				use += step.Resources.CPU
+			case !task.done:
+				wait += step.Resources.CPU
+			}
+		}
 	}
-	missing := headroomFactor*t.urgent.peak - float64(t.urgentInUse)
-	if missing <= 0 {
+	return use, wait
+}
+
+// headroom is what a task has to leave free on each worker. Tasks that last leave room for all short work, short work
+// of a lower priority for that of the first. Fillers need not: they give way by themselves.
+func (t *Term) headroom(one *task) int {
+	var missing float64
+	switch {
+	case t.usable == 0:
 		return 0
+	case one.step.LongRunning:
+		missing = t.short.missing()
+	case one.job.queue.Priority > 0:
+		missing = t.urgent.missing()
 	}
-	return int(missing) / t.usable
+	return int(min(missing, maxHeadroomShare*float64(t.capacity))) / t.usable
 }
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -133,7 +133,7 @@
 
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
-		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(j),
+		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one),
 		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
 	}
 	if one.step.RackSensitive {
--- a/execution/supervise.go
+++ b/execution/supervise.go
@@ -20,7 +20,7 @@
 	}
 	t.superviseAt = now + superviseEvery
 	t.unplaced = true
-	t.observeUrgent(now)
+	t.observeDemand(now)
 	for _, w := range t.workers {
 		t.relieve(w, now)
 		for _, r := range w.runs {
--- a/execution/term.go
+++ b/execution/term.go
@@ -65,10 +65,10 @@
 	early map[jobs.ID]bool
 
 	disturbance *placement.Disturbance
-	urgent      demand
-	// urgentInUse is what urgent tasks use now; usable counts the usable workers.
-	urgentInUse int
-	usable      int
+	// urgent and short are the demand for short work of the first priority and for all short work.
+	urgent, short demand
+	// usable counts the usable workers, capacity their processors.
+	usable, capacity int
 
 	dirty      []*job
 	committing bool
