--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -59,7 +59,9 @@
 	if err != nil {
 		return reportStartFailure(err)
 	}
-	logger := logging.New(os.Stdout, level).With().Str(logging.KeyInstance, s.ID).Logger()
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+	logger := logging.New(out, level).With().Str(logging.KeyInstance, s.ID).Logger()
 	if err := entry.Run(s, logger); err != nil {
 		logger.Error().AnErr("error", err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance ended with a failure")
 		return fault.Describe(err).Exit
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -22,3 +24,55 @@
 		t.Errorf("line %q does not contain %q", line, want)
 	}
 }
+
+// Guards against a reader that stalls holding up the process, and against warnings drowning in a flood of other lines.
+func TestStalledReaderDropsLinesAndKeepsWarnings(t *testing.T) {
+	reader, writer := io.Pipe()
+	bounded := NewBounded(writer)
+	logger := New(bounded, zerolog.InfoLevel)
+	started := time.Now()
+	for range 20_000 {
+		logger.Info().Str(KeyTask, "t").Msg("attempt placed")
+	}
+	logger.Warn().Msg("duty lost")
+	if took := time.Since(started); took > 5*time.Second {
+		t.Fatalf("writing to a stalled reader took %v", took)
+	}
+	read := make(chan string)
+	go func() {
+		all, _ := io.ReadAll(reader)
+		read <- string(all)
+	}()
+	bounded.Close()
+	writer.Close()
+	all := <-read
+	for _, want := range []string{"duty lost", "log lines dropped"} {
+		if !strings.Contains(all, want) {
+			t.Errorf("the log lacks %q", want)
+		}
+	}
+}
+
+// Guards against values that hold quotes, separators or nested objects breaking the pairs of a line.
+func TestValuesKeepTheirShape(t *testing.T) {
+	cases := map[string]struct {
+		value any
+		want  string
+	}{
+		"plain":     {"abc", "v=abc"},
+		"empty":     {"", `v=""`},
+		"spaces":    {"a b", `v="a b"`},
+		"quote":     {`a"b`, `v="a\"b"`},
+		"number":    {7, "v=7"},
+		"separator": {"a,b:c", "v=a,b:c"},
+		"nested":    {map[string]int{"a": 1}, `v="{\"a\":1}"`},
+	}
+	for name, c := range cases {
+		var out bytes.Buffer
+		logger := New(&out, zerolog.InfoLevel)
+		logger.Info().Interface("v", c.value).Msg("m")
+		if !strings.Contains(out.String(), " "+c.want+"\n") {
+			t.Errorf("%s: line %q does not end with %q", name, out.String(), c.want)
+		}
+	}
+}
