Bound the cost of placement passes

Cause: with a backlog every event ran a whole pass over jobs, workers and pairs of images, which took all of the holder's processor time; its own calls then timed out. A stop hung because the reading of the manifest did not look at its context. Change: passes have gaps that follow their duration, remember what could not be placed and cache the room for fillers; only unsettled orders are looked over; the manifest service ends with its context.

--- a/entry/config.go
+++ b/entry/config.go
@@ -60,7 +60,7 @@
 	reachable := true
 	for ctx.Err() == nil {
 		after, err := s.readWhole(ctx)
-		for err == nil {
+		for err == nil && ctx.Err() == nil {
 			var changes store.Changes
 			changes, err = s.table.Watch(ctx, platform.ManifestKey.Table, after, manifestWait)
 			if err == nil {
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -45,7 +45,8 @@
 		t.touch(r.task.job)
 		return
 	}
-	r.stopping, r.stopCause = true, cause
+	r.stopping = true
+	t.unsettled[r] = struct{}{}
 	r.stopAt = t.opts.Clock()
 	t.log.Info().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
 		Str(logging.KeyWorker, string(r.worker.id())).Str(logging.KeyReason, cause).Int("percent", r.percent).
--- a/execution/model.go
+++ b/execution/model.go
@@ -45,10 +45,9 @@
 	// retryDue is set while an order without an answer is to be repeated at orderedAt.
 	retryDue bool
 	// stopping is set once the attempt is to end; stopAt is when the next stop order is due.
-	stopping  bool
-	stopSent  bool
-	stopAt    time.Duration
-	stopCause string
+	stopping bool
+	stopSent bool
+	stopAt   time.Duration
 
 	// paced is set once a filler was slowed down for the sake of serving tasks.
 	paced   bool
--- a/execution/orders.go
+++ b/execution/orders.go
@@ -97,6 +97,7 @@
 		Str(logging.KeyWorker, string(r.worker.id())).AnErr("error", err).Msg("order to start without an answer")
 	if r.orders < startTries && !r.stopping {
 		r.orderedAt, r.retryDue = now+startRetry, true
+		t.unsettled[r] = struct{}{}
 		return
 	}
 	r.orders = startTries
@@ -105,16 +106,16 @@
 
 // resend repeats orders that are due.
 func (t *Term) resend(now time.Duration) {
-	for _, w := range t.workers {
-		for _, r := range w.runs {
-			switch {
-			case r.stopping && now >= r.stopAt:
-				r.stopAt = now + stopRetry
-				t.orderStop(r)
-			case r.retryDue && !r.stopping && now >= r.orderedAt:
-				r.retryDue = false
-				t.orderStart(r)
-			}
+	for r := range t.unsettled {
+		switch {
+		case r.worker.runs[runKey{r.task.id, r.attempt}] != r || (!r.stopping && !r.retryDue):
+			delete(t.unsettled, r)
+		case r.stopping && now >= r.stopAt:
+			r.stopAt = now + stopRetry
+			t.orderStop(r)
+		case r.retryDue && !r.stopping && now >= r.orderedAt:
+			r.retryDue = false
+			t.orderStart(r)
 		}
 	}
 }
--- a/execution/relief.go
+++ b/execution/relief.go
@@ -33,6 +33,7 @@
 			fillers[r.task.step.Image] += float64(r.usage) / float64(max(1, w.node.Entry.Capacity.CPU))
 		}
 	}
+	w.node.Measured()
 	for _, serving := range w.node.ServingByImage {
 		serving.Tail = 0
 	}
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -21,6 +21,7 @@
 		return
 	}
 	t.compactOrder()
+	t.failures = placement.Failures{}
 	today := t.opts.Now()
 	for _, j := range t.order {
 		t.refreshQueue(j, m)
@@ -122,8 +123,13 @@
 
 // place records an attempt of a task on the best worker.
 func (t *Term) place(j *job, one *task, siblings []*task) bool {
-	node, reason := placement.Choose(t.nodes.all, t.request(j, one, siblings))
+	request := t.request(j, one, siblings)
+	if t.failures.Hopeless(&request) {
+		return false
+	}
+	node, reason := placement.Choose(t.nodes.all, request)
 	if node == nil {
+		t.failures.Note(&request, reason)
 		t.opts.Metrics.unplaced(string(reason))
 		return false
 	}
--- a/execution/term.go
+++ b/execution/term.go
@@ -40,13 +40,17 @@
 	lookWait = 2 * time.Second
 	// uncommittedLook is the pause between looks at a worker whose ends are not stored yet.
 	uncommittedLook = time.Second
-	commitGap       = 12 * time.Millisecond
-	intakeWait      = time.Second
-	intakeGap       = 20 * time.Millisecond
-	workersWait     = time.Second
-	workersGap      = 250 * time.Millisecond
-	watchRetry      = 200 * time.Millisecond
-	eventBacklog    = 1024
+	commitGap       = 15 * time.Millisecond
+	// scheduleGap is the least time between two passes of placement; a pass that took long is followed by a pause of
+	// scheduleShare times its duration, so that other work of the duty is not held up.
+	scheduleGap   = 10 * time.Millisecond
+	scheduleShare = 4
+	intakeWait    = time.Second
+	intakeGap     = 20 * time.Millisecond
+	workersWait   = time.Second
+	workersGap    = 250 * time.Millisecond
+	watchRetry    = 200 * time.Millisecond
+	eventBacklog  = 1024
 )
 
 // Term is one term of office.
@@ -57,14 +61,17 @@
 	events chan func()
 	log    zerolog.Logger
 
-	jobs    map[jobs.ID]*job
-	order   []*job
-	workers map[workers.ID]*worker
-	nodes   nodeList
+	jobs  map[jobs.ID]*job
+	order []*job
+	// unsettled holds the attempts for which an order may have to be repeated.
+	unsettled map[*run]struct{}
+	workers   map[workers.ID]*worker
+	nodes     nodeList
 	// early holds cancellations of jobs that are not known yet.
 	early map[jobs.ID]bool
 
 	disturbance *placement.Disturbance
+	failures    placement.Failures
 	// urgent and short are the demand for short work of the first priority and for all short work.
 	urgent, short demand
 	// usable counts the usable workers, capacity their processors.
@@ -75,11 +82,12 @@
 	nextCommit time.Duration
 	renewAt    time.Duration
 	// unplaced is set when something happened that may let a task be placed.
-	unplaced    bool
-	failure     error
-	began       time.Duration
-	superviseAt time.Duration
-	stockAt     time.Duration
+	unplaced     bool
+	nextSchedule time.Duration
+	failure      error
+	began        time.Duration
+	superviseAt  time.Duration
+	stockAt      time.Duration
 }
 
 // NewTerm returns a term of office for a holder.
@@ -88,7 +96,8 @@
 		opts: opts, holder: holder, events: make(chan func(), eventBacklog),
 		log:  opts.Logger.With().Uint64(logging.KeyEpoch, holder.Epoch()).Logger(),
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
-		unplaced: true, disturbance: placement.NewDisturbance(),
+		unsettled: make(map[*run]struct{}),
+		unplaced:  true, disturbance: placement.NewDisturbance(),
 	}
 }
 
@@ -109,7 +118,12 @@
 		Dur("took", t.opts.Clock()-t.began).Msg("duty taken")
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	soon := time.NewTimer(0)
+	defer soon.Stop()
 	for {
+		if wait := t.untilDue(); wait > 0 {
+			soon.Reset(wait)
+		}
 		select {
 		case <-ctx.Done():
 			return errors.WithStack(ctx.Err())
@@ -117,6 +131,7 @@
 			event()
 			t.drainEvents()
 		case <-ticker.C:
+		case <-soon.C:
 		}
 		if err := t.advance(); err != nil {
 			return err
@@ -124,6 +139,22 @@
 	}
 }
 
+// untilDue returns the time until a pass of placement or a commit that was put off is due; 0 if none was.
+func (t *Term) untilDue() time.Duration {
+	now := t.opts.Clock()
+	var wait time.Duration
+	if t.unplaced {
+		wait = max(t.nextSchedule-now, time.Millisecond)
+	}
+	if len(t.dirty) > 0 && !t.committing {
+		commit := max(t.nextCommit-now, time.Millisecond)
+		if wait == 0 || commit < wait {
+			wait = commit
+		}
+	}
+	return wait
+}
+
 // drainEvents handles events that have queued up, so that they share one decision and one commit.
 func (t *Term) drainEvents() {
 	for range eventBacklog {
@@ -156,9 +187,10 @@
 	t.expire(now)
 	t.supervise(now)
 	t.logStock(now)
-	if t.unplaced {
+	if t.unplaced && now >= t.nextSchedule {
 		t.unplaced = false
 		t.schedule(now)
+		t.nextSchedule = now + max(scheduleGap, scheduleShare*(t.opts.Clock()-now))
 	}
 	t.commit(now)
 	t.look(now)
--- a/placement/disturbance.go
+++ b/placement/disturbance.go
@@ -94,39 +94,55 @@
 
 func clamp(x, low, high float64) float64 { return math.Max(low, math.Min(high, x)) }
 
-// predict returns the predicted share of the target that a serving image's tail takes on a node with extra filler work.
-func (d *Disturbance) predict(node *Node, image string, serving *Serving, extraImage string, extra float64) float64 {
+// level returns the logarithm of the share of its target that a serving image's tail takes on a node, as predicted from
+// its fillers or as measured, whichever is larger: what is measured counts even if the model does not know why.
+func (d *Disturbance) level(node *Node, image string, serving *Serving) float64 {
 	target := math.Log(serving.Target.Seconds())
-	base, known := d.base[image]
+	level, known := d.base[image]
 	if !known {
-		base = target + math.Log(defaultBase)
+		level = target + math.Log(defaultBase)
 	}
-	added := d.Slope(image, extraImage) * extra
-	model := base + added
 	for filler, cpu := range node.FillerByImage {
-		model += d.Slope(image, filler) * node.share(cpu)
+		level += d.Slope(image, filler) * node.share(cpu)
 	}
 	if serving.Tail > 0 {
-		// What is measured already counts even if the model does not know why.
-		model = math.Max(model, math.Log(serving.Tail.Seconds())+added)
+		level = math.Max(level, math.Log(serving.Tail.Seconds()))
 	}
-	return math.Exp(model - target)
+	return level - target
 }
 
 // Admits reports whether a filler task may join the serving tasks of a node.
 func (d *Disturbance) Admits(node *Node, step *jobs.Step) bool {
-	extra := node.share(step.Resources.CPU)
-	for image, serving := range node.ServingByImage {
-		if d.predict(node, image, serving, step.Image, extra) > admitBelow {
-			return false
+	room, cached := node.admissible[step.Image]
+	if !cached {
+		room = d.room(node, step.Image)
+		if node.admissible == nil {
+			node.admissible = make(map[string]float64)
 		}
+		node.admissible[step.Image] = room
 	}
-	return true
+	return node.share(step.Resources.CPU) <= room
 }
 
+// minSlope keeps the room for images that disturb nobody finite.
+const minSlope = 1e-3
+
+// room is the share of a node that further filler work of an image may use.
+func (d *Disturbance) room(node *Node, image string) float64 {
+	room := math.Inf(1)
+	for name, serving := range node.ServingByImage {
+		left := math.Log(admitBelow) - d.level(node, name, serving)
+		room = math.Min(room, left/math.Max(minSlope, d.Slope(name, image)))
+	}
+	return room
+}
+
+// Measured voids what was derived from earlier measurements of a node.
+func (n *Node) Measured() { clear(n.admissible) }
+
 // Stress is the largest predicted share of a target on a node if a serving task joined its fillers.
 func (d *Disturbance) Stress(node *Node, step *jobs.Step) float64 {
-	return d.predict(node, step.Image, &Serving{Target: step.LatencyTarget}, "", 0)
+	return math.Exp(d.level(node, step.Image, &Serving{Target: step.LatencyTarget}))
 }
 
 // Pressed returns by how much the worst measured tail of a node's serving tasks exceeds the share of its target from
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,9 @@
 	// FillerByImage splits FillerCPU; ServingByImage holds the serving tasks.
 	FillerByImage  map[string]int
 	ServingByImage map[string]*Serving
+	// admissible caches how much filler work of an image may join; it is void once the account changes.
+	admissible map[string]float64
+
 	// Suspect delays placement on a worker that failed, stalled or refused; larger is worse.
 	Suspect int
 }
@@ -55,6 +58,7 @@
 func (n *Node) Release(step *jobs.Step) { n.account(step, -1) }
 
 func (n *Node) account(step *jobs.Step, sign int) {
+	clear(n.admissible)
 	r := step.Reserved()
 	n.Used.CPU += sign * r.CPU
 	n.Used.MemoryMB += sign * r.MemoryMB
@@ -259,3 +263,42 @@
 	}
 	return longest
 }
+
+// Failures remembers within one pass what could not be placed, so that no larger task of the same kind is tried again.
+type Failures struct{ smallest map[kind]jobs.Resources }
+
+type kind struct {
+	service, requires, image string
+	filler, lasting          bool
+	headroom                 int
+}
+
+func kindOf(request *Request) kind {
+	step := request.Step
+	k := kind{service: request.Service, requires: step.Requires, filler: step.Filler, lasting: step.LongRunning}
+	k.headroom = request.Headroom
+	if step.Filler {
+		k.image = step.Image
+	}
+	return k
+}
+
+// Hopeless reports whether a task of the same kind that needs no more was refused before.
+func (f *Failures) Hopeless(request *Request) bool {
+	smallest, ok := f.smallest[kindOf(request)]
+	return ok && smallest.Fits(request.Step.Resources)
+}
+
+// Note remembers a refusal. Refusals that come from where the step's other tasks are say nothing of other steps.
+func (f *Failures) Note(request *Request, reason Reason) {
+	if reason == ReasonSpread || request.Step.AntiAffinity > 0 {
+		return
+	}
+	if f.smallest == nil {
+		f.smallest = make(map[kind]jobs.Resources)
+	}
+	k := kindOf(request)
+	if smallest, ok := f.smallest[k]; !ok || request.Step.Resources.Fits(smallest) {
+		f.smallest[k] = request.Step.Resources
+	}
+}
