--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -10,6 +10,9 @@
 	headroomFactor = 1.25
 	// maxHeadroomShare bounds the headroom, as a share of the capacity.
 	maxHeadroomShare = 0.25
+	// lastingPatience is how long headroom may keep a task that lasts waiting. Such a task has to run again within a few
+	// seconds if there is any room for it.
+	lastingPatience = 2 * time.Second
 )
 
 // demand remembers the processors that a kind of work needs at its peak, in thousandths of a core.
@@ -75,15 +78,22 @@
 
 // headroom is what a task has to leave free on each worker. Tasks that last leave room for all short work, short work
 // of a lower priority for that of the first. Fillers need not: they give way by themselves.
-func (t *Term) headroom(one *task) int {
-	var missing float64
+func (t *Term) headroom(one *task, now time.Duration) int {
 	switch {
 	case t.usable == 0:
 		return 0
+	case one.step.LongRunning && now-one.readyAt > lastingPatience:
+		return 0
 	case one.step.LongRunning:
-		missing = t.short.missing()
+		// A worker with room for a lasting task twice over has to take it, whatever else may come.
+		return min(t.spread(t.short.missing()), max(0, one.step.Resources.CPU-1))
 	case one.job.queue.Priority > 0:
-		missing = t.urgent.missing()
+		return t.spread(t.urgent.missing())
 	}
+	return 0
+}
+
+// spread divides headroom over the usable workers.
+func (t *Term) spread(missing float64) int {
 	return int(min(missing, maxHeadroomShare*float64(t.capacity))) / t.usable
 }
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -22,6 +22,7 @@
 	}
 	t.compactOrder()
 	t.failures = placement.Failures{}
+	t.scheduledAt = now
 	today := t.opts.Now()
 	for _, j := range t.order {
 		t.refreshQueue(j, m)
@@ -139,7 +140,7 @@
 
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
-		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one),
+		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one, t.scheduledAt),
 		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
 	}
 	if one.step.RackSensitive {
--- a/execution/term.go
+++ b/execution/term.go
@@ -84,6 +84,7 @@
 	// unplaced is set when something happened that may let a task be placed.
 	unplaced     bool
 	nextSchedule time.Duration
+	scheduledAt  time.Duration
 	failure      error
 	began        time.Duration
 	superviseAt  time.Duration
