Pace fillers by their predicted effect

Change: fillers are slowed by as much as the model says is needed, all of them are held once a task has been over its target for 1.3 s, and they speed up again; only those held for 1.5 s move.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -15,6 +15,7 @@
 	r.task.run = r
 	r.task.job.live++
 	r.movedAt = t.opts.Clock()
+	r.pace = fullPace
 }
 
 // detach releases what an attempt took; it is certain that it does not run any more.
--- a/execution/model.go
+++ b/execution/model.go
@@ -49,8 +49,8 @@
 	stopSent bool
 	stopAt   time.Duration
 
-	// paced is set once a filler was slowed down for the sake of serving tasks.
-	paced   bool
+	// pace is the percentage of its share that a filler may use, pacedAt when it was last changed.
+	pace    int
 	pacedAt time.Duration
 
 	percent int
@@ -157,8 +157,9 @@
 	// deadBy is when every lease granted to anything on the worker has certainly run out.
 	deadBy time.Duration
 
-	// relievedAt is when a filler was last slowed down.
+	// relievedAt is when a pace was last changed; overSince is since when a serving task is over its target, 0 if none is.
 	relievedAt time.Duration
+	overSince  time.Duration
 
 	failStreak int
 	restUntil  time.Duration
--- a/execution/relief.go
+++ b/execution/relief.go
@@ -1,22 +1,28 @@
 package execution
 
 import (
+	"sort"
 	"time"
 
 	"bronzehook/logging"
 	"bronzehook/placement"
 )
 
-// Timing of the relief of serving tasks.
+// Timing and steps of the relief of serving tasks.
 const (
 	// mixedLookWait bounds the age of measurements on workers where fillers run beside serving tasks.
-	mixedLookWait = 500 * time.Millisecond
+	mixedLookWait = 600 * time.Millisecond
 	// settleTime is how long a change of pace needs to show in a measurement of the last half second.
-	settleTime = 700 * time.Millisecond
-	// pacedFor is how long a slowed filler is kept before it is moved elsewhere.
-	pacedFor = 1500 * time.Millisecond
-	// slowPace is the percentage of its share that a slowed filler keeps.
-	slowPace = 0
+	settleTime = 650 * time.Millisecond
+	// overPatience is how long a serving task may be over its target before all fillers beside it are held.
+	overPatience = 1300 * time.Millisecond
+	// heldFor is how long a filler is held before it is moved elsewhere.
+	heldFor = 1500 * time.Millisecond
+	// nearlyDone is the progress in percent from which a held filler is not moved.
+	nearlyDone = 85
+	// fullPace and the least pace other than 0, in percent of a filler's share.
+	fullPace = 100
+	minPace  = 10
 )
 
 // mixed reports whether fillers run beside serving tasks.
@@ -49,59 +55,138 @@
 	}
 }
 
-// relieve slows the filler that disturbs the most while a serving task is near or over its target, and moves fillers
-// that stay slowed.
+// relieve keeps the serving tasks of a worker under their targets: it slows fillers down while a measured tail is near
+// its target, lets them speed up when there is room again, and moves those that are held for long.
 func (t *Term) relieve(w *worker, now time.Duration) {
 	if !w.mixed() {
+		w.overSince = 0
 		return
 	}
-	image, excess := t.disturbance.Pressed(&w.node)
+	t.moveHeld(w, now)
+	image, level, known := t.disturbance.Worst(&w.node)
+	if !known {
+		return
+	}
+	if level <= 0 {
+		w.overSince = 0
+	} else if w.overSince == 0 {
+		w.overSince = now
+	}
+	if w.overSince > 0 && now-w.overSince > overPatience {
+		t.holdAll(w, image, level, now)
+		return
+	}
+	if now < w.relievedAt+settleTime {
+		return
+	}
+	switch {
+	case level > placement.LevelPressed:
+		t.slowDown(w, image, level, now)
+	case level < placement.LevelRelaxed:
+		t.speedUp(w, image, level, now)
+	}
+}
+
+// moveHeld stops fillers that have been held for long, so that they go on elsewhere.
+func (t *Term) moveHeld(w *worker, now time.Duration) {
 	for _, r := range w.runs {
-		if r.paced && !r.stopping && now-r.pacedAt > pacedFor {
+		held := r.pace < minPace && r.task.step.Filler && r.phase == phaseRunning && !r.stopping
+		if held && now-r.pacedAt > heldFor && r.percent < nearlyDone {
 			r.task.avoid = w.id()
 			t.stop(r, "disturbs serving tasks")
 		}
 	}
-	if excess <= 0 || now < w.relievedAt+settleTime {
-		return
-	}
-	var worst *run
-	var most float64
+}
+
+// holdAll holds every filler of a worker.
+func (t *Term) holdAll(w *worker, image string, level float64, now time.Duration) {
 	for _, r := range w.runs {
-		if !r.task.step.Filler || r.paced || r.stopping || r.phase != phaseRunning {
+		if r.task.step.Filler && r.phase == phaseRunning && !r.stopping && r.pace > 0 {
+			t.setPace(r, 0, image, level, now)
+		}
+	}
+}
+
+// slowDown reduces the fillers that disturb an image the most until the predicted tail is well under the target.
+func (t *Term) slowDown(w *worker, image string, level float64, now time.Duration) {
+	need := level - placement.LevelAimed
+	for _, r := range t.fillersByPush(w, image) {
+		push := t.push(r, image)
+		if need <= 0 || push <= 0 {
+			return
+		}
+		keep := max(0, 1-need/push)
+		pace := int(float64(r.pace) * keep)
+		if pace < minPace {
+			pace = 0
+		}
+		need -= push * (1 - keep)
+		if pace < r.pace {
+			t.setPace(r, pace, image, level, now)
+		}
+	}
+}
+
+// speedUp lets the slowed filler that disturbs the least go on as fast as the room allows.
+func (t *Term) speedUp(w *worker, image string, level float64, now time.Duration) {
+	room := placement.LevelAimed - level
+	fillers := t.fillersByPush(w, image)
+	for i := len(fillers) - 1; i >= 0; i-- {
+		r := fillers[i]
+		if r.pace >= fullPace {
 			continue
 		}
-		if push := t.disturbance.Slope(image, r.task.step.Image) * float64(r.usage+1); worst == nil || push > most {
-			worst, most = r, push
+		share := float64(r.task.step.Resources.CPU) / float64(max(1, w.node.Entry.Capacity.CPU))
+		missing := t.disturbance.Slope(image, r.task.step.Image) * share * float64(fullPace-r.pace) / fullPace
+		pace := fullPace
+		if missing > room {
+			pace = r.pace + int(float64(fullPace-r.pace)*room/missing)
+		}
+		if pace >= r.pace+minPace {
+			t.setPace(r, pace, image, level, now)
+			return
 		}
 	}
-	if worst == nil {
-		return
+}
+
+// push is how much a filler raises the logarithm of an image's tail.
+func (t *Term) push(r *run, image string) float64 {
+	share := float64(r.usage) / float64(max(1, r.worker.node.Entry.Capacity.CPU))
+	return t.disturbance.Slope(image, r.task.step.Image) * share
+}
+
+func (t *Term) fillersByPush(w *worker, image string) []*run {
+	var fillers []*run
+	for _, r := range w.runs {
+		if r.task.step.Filler && r.phase == phaseRunning && !r.stopping {
+			fillers = append(fillers, r)
+		}
 	}
-	w.relievedAt = now
-	t.log.Info().Stringer(logging.KeyTask, worst.task.id).Int(logging.KeyAttempt, worst.attempt).
-		Str(logging.KeyWorker, string(w.id())).Str("image", worst.task.step.Image).Str("serving_image", image).
-		Float64("excess", excess).Float64("slope", t.disturbance.Slope(image, worst.task.step.Image)).
-		Msg("filler slowed down")
-	t.pace(worst, now)
+	sort.Slice(fillers, func(i, j int) bool { return t.push(fillers[i], image) > t.push(fillers[j], image) })
+	return fillers
 }
 
-func (t *Term) pace(r *run, now time.Duration) {
-	r.paced, r.pacedAt = true, now
+// setPace orders the percentage of its share that a filler may use.
+func (t *Term) setPace(r *run, pace int, image string, level float64, now time.Duration) {
+	t.log.Info().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
+		Str(logging.KeyWorker, string(r.worker.id())).Int("pace", pace).Int("before", r.pace).
+		Str("image", r.task.step.Image).Str("serving_image", image).Float64("level", level).
+		Float64("slope", t.disturbance.Slope(image, r.task.step.Image)).Msg("filler paced")
+	r.pace, r.pacedAt = pace, now
+	r.worker.relievedAt = now
 	target := t.target(r.worker)
 	task, attempt := r.task.id, r.attempt
 	go func() {
 		if !t.holder.Valid() {
 			return
 		}
-		err := t.opts.Workers.Pace(t.ctx, target, task, attempt, slowPace)
-		if err != nil {
+		if err := t.opts.Workers.Pace(t.ctx, target, task, attempt, pace); err != nil {
 			t.post(func() { t.paceFailed(r, err) })
 		}
 	}()
 }
 
-// paceFailed stops a filler that could not be slowed down.
+// paceFailed stops a filler whose pace is not known.
 func (t *Term) paceFailed(r *run, err error) {
 	t.log.Warn().Stringer(logging.KeyTask, r.task.id).AnErr("error", err).Msg("pace not set")
 	if r.worker.runs[runKey{r.task.id, r.attempt}] == r {
--- a/execution/supervise.go
+++ b/execution/supervise.go
@@ -53,6 +53,10 @@
 	if r.task.step.LongRunning && r.percent >= 100 {
 		return
 	}
+	if r.pace < fullPace || now-r.pacedAt < stallMin {
+		// Slowed on purpose.
+		return
+	}
 	if now-r.movedAt > limit {
 		t.suspect(w, "an attempt stands still")
 		r.task.avoid = w.id()
--- a/placement/disturbance.go
+++ b/placement/disturbance.go
@@ -18,10 +18,8 @@
 	baseRate     = 0.02
 	// regularisation keeps samples with little filler work from changing much.
 	regularisation = 0.02
-	// admitBelow and pressAbove are shares of the latency target. Up to the first a prediction lets more filler work
-	// in; from the second on what was measured has filler work slowed down.
+	// admitBelow is the share of the latency target up to which a prediction lets more filler work in.
 	admitBelow = 0.72
-	pressAbove = 0.88
 	// defaultBase is the share of the target that an unknown image is taken to need undisturbed.
 	defaultBase = 0.5
 	// servingUse is the share of their processors that serving tasks use on average.
@@ -145,17 +143,24 @@
 	return math.Exp(d.level(node, step.Image, &Serving{Target: step.LatencyTarget}))
 }
 
-// Pressed returns by how much the worst measured tail of a node's serving tasks exceeds the share of its target from
-// which filler work is slowed down; 0 if none does.
-func (d *Disturbance) Pressed(node *Node) (image string, excess float64) {
+// Levels are logarithms of the share of its target that a tail takes.
+var (
+	// LevelPressed is where fillers are slowed down, LevelAimed what this aims at, LevelRelaxed where they may speed up.
+	LevelPressed = math.Log(0.88)
+	LevelAimed   = math.Log(0.75)
+	LevelRelaxed = math.Log(0.62)
+)
+
+// Worst returns the serving image on a node whose measured tail is the nearest to its target or the furthest above it.
+func (d *Disturbance) Worst(node *Node) (image string, level float64, known bool) {
 	for name, serving := range node.ServingByImage {
-		if serving.Target <= 0 {
+		if serving.Target <= 0 || serving.Tail <= 0 {
 			continue
 		}
-		over := serving.Tail.Seconds()/serving.Target.Seconds() - pressAbove
-		if over > excess {
-			image, excess = name, over
+		here := math.Log(serving.Tail.Seconds() / serving.Target.Seconds())
+		if !known || here > level {
+			image, level, known = name, here, true
 		}
 	}
-	return image, excess
+	return image, level, known
 }
