Order jobs by what they can still earn and the least work left

Cause: with a backlog, order by deadline spent room on jobs that ended late all the same. Change: a job's class counts the chain that is left; within a class the least work left goes first.

--- a/execution/model.go
+++ b/execution/model.go
@@ -108,6 +108,7 @@
 
 	deadline time.Time
 	late     time.Time
+	rank     rank
 	ended    bool
 }
 
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -26,8 +26,9 @@
 	today := t.opts.Now()
 	for _, j := range t.order {
 		t.refreshQueue(j, m)
+		j.rank = rankOf(j, today)
 	}
-	sort.SliceStable(t.order, func(a, b int) bool { return moreUrgent(t.order[a], t.order[b], today) })
+	sort.SliceStable(t.order, func(a, b int) bool { return moreUrgent(t.order[a], t.order[b]) })
 	for _, j := range t.order {
 		if j.known && !j.terminal() {
 			t.placeJob(j, now, today)
@@ -60,23 +61,56 @@
 	t.settle(j)
 }
 
-// worthClass orders jobs by what they can still earn: in time, late, nothing.
-func worthClass(j *job, today time.Time) int {
+// rank is what orders a job among those of its priority.
+type rank struct {
+	// worth is 0 while the job can still end in time, 1 while it can end late, 2 after that.
+	worth int
+	// work is what is left to do, in core-seconds by the caller's estimates.
+	work float64
+}
+
+// rankOf computes a job's rank from the steps that are not done.
+func rankOf(j *job, today time.Time) rank {
+	var r rank
+	var chain time.Duration
+	for _, o := range j.occurrences {
+		if o == nil {
+			continue
+		}
+		lengths := make([]time.Duration, len(o.steps))
+		for s := range o.steps {
+			step := &j.spec.Steps[s]
+			for _, earlier := range step.After {
+				lengths[s] = max(lengths[s], lengths[earlier])
+			}
+			if o.left[s] > 0 {
+				lengths[s] += step.Estimate
+				r.work += float64(o.left[s]*step.Resources.CPU) * step.Estimate.Seconds() / 1000
+			}
+			chain = max(chain, lengths[s])
+		}
+	}
+	end := today.Add(chain)
 	switch {
-	case today.Before(j.deadline):
-		return 0
-	case today.Before(j.late):
-		return 1
+	case end.After(j.late):
+		r.worth = 2
+	case end.After(j.deadline):
+		r.worth = 1
 	}
-	return 2
+	return r
 }
 
-func moreUrgent(a, b *job, today time.Time) bool {
+// moreUrgent orders jobs by priority, by what they can still earn, and then by the least work left: with more work than
+// room the most jobs end in time that way.
+func moreUrgent(a, b *job) bool {
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
 	}
-	if ca, cb := worthClass(a, today), worthClass(b, today); ca != cb {
-		return ca < cb
+	if a.rank.worth != b.rank.worth {
+		return a.rank.worth < b.rank.worth
+	}
+	if a.rank.work != b.rank.work {
+		return a.rank.work < b.rank.work
 	}
 	return a.deadline.Before(b.deadline)
 }
