--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,171 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"bronzehook/fault"
+	"bronzehook/intake"
+	"bronzehook/jobs"
+	"bronzehook/manifest"
+	"bronzehook/store"
+	"bronzehook/store/memory"
+)
+
+type health struct{ down bool }
+
+func (h *health) Down(time.Duration) bool { return h.down }
+
+func newService(table store.Table, h *health) *intake.Service {
+	return intake.New(table, h, &manifest.Holder{}, zerolog.Nop())
+}
+
+func spec(id string) *jobs.Spec {
+	return &jobs.Spec{ID: jobs.ID(id), Queue: "q", Steps: []jobs.Step{{Count: 1}}}
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against an answer that says "not run" although the job may have been stored, and against a promise of a job that
+// was not stored.
+func TestSubmitTellsTheTruthAboutTheStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode   memory.Mode
+		down   bool
+		code   fault.Code
+		stored bool
+	}{
+		"stored":                         {mode: memory.ModeNone, stored: true},
+		"carried out without an answer":  {mode: memory.ModeLost, code: fault.CodeOutcomeUnknown, stored: true},
+		"lost without an answer":         {mode: memory.ModeDropped, code: fault.CodeOutcomeUnknown},
+		"carried out after the answer":   {mode: memory.ModeLate, code: fault.CodeOutcomeUnknown, stored: true},
+		"refused by the store":           {mode: memory.ModeBusy, code: fault.CodeStoreUnavailable},
+		"store known to be down, no try": {mode: memory.ModeNone, down: true, code: fault.CodeStoreUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := memory.New()
+			table.SetMode(c.mode)
+			err := newService(table, &health{down: c.down}).Submit(within(t, 600*time.Millisecond), spec("a"))
+			code := fault.Code("")
+			if err != nil {
+				code = fault.CodeOf(err)
+			}
+			if code != c.code {
+				t.Errorf("the answer is %q, want %q", code, c.code)
+			}
+			table.SetMode(memory.ModeNone)
+			table.DeliverLate()
+			if stored := table.Value(store.StateKey("a")) != nil; stored != c.stored {
+				t.Errorf("stored: %v, want %v", stored, c.stored)
+			}
+		})
+	}
+}
+
+// Guards against a refusal that is held back: where the store refuses, the caller hears of it early.
+func TestRefusalComesEarly(t *testing.T) {
+	table := memory.New()
+	table.SetMode(memory.ModeBusy)
+	started := time.Now()
+	err := newService(table, &health{}).Submit(within(t, 3*time.Second), spec("a"))
+	if took := time.Since(started); err == nil || took > 600*time.Millisecond {
+		t.Errorf("refused with %v after %v", err, took)
+	}
+}
+
+// Guards against a retry that makes a second job.
+func TestSubmitAgainStaysOneJob(t *testing.T) {
+	table := memory.New()
+	first := spec("a")
+	if err := newService(table, &health{}).Submit(within(t, time.Second), first); err != nil {
+		t.Fatal(err)
+	}
+	before := table.Value(store.JobKey("a"))
+	again := spec("a")
+	again.Text = "other"
+	if err := newService(table, &health{}).Submit(within(t, time.Second), again); err != nil {
+		t.Fatalf("the retry was refused: %v", err)
+	}
+	if diff := cmp.Diff(before, table.Value(store.JobKey("a"))); diff != "" {
+		t.Errorf("the retry changed the job: %s", diff)
+	}
+}
+
+// Guards against "no such job" for a job that exists but can't be read at the moment.
+func TestUnreadableStateIsNotAnUnknownJob(t *testing.T) {
+	s := newService(memory.New(), &health{down: true})
+	if _, err := s.State(within(t, time.Second), "q", "a"); fault.CodeOf(err) == fault.CodeNotFound {
+		t.Error("a job was denied without a look")
+	}
+	s = newService(memory.New(), &health{})
+	if _, err := s.State(within(t, time.Second), "q", "a"); fault.CodeOf(err) != fault.CodeNotFound {
+		t.Errorf("an unknown job is told as %v", err)
+	}
+}
+
+// Guards against a cancelled job that is shown as running, and against cancelling what has ended.
+func TestCancel(t *testing.T) {
+	for name, c := range map[string]struct {
+		state jobs.State
+		want  jobs.State
+	}{
+		"queued":    {jobs.StateQueued, jobs.StateCancelled},
+		"running":   {jobs.StateRunning, jobs.StateCancelled},
+		"succeeded": {jobs.StateSucceeded, jobs.StateSucceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := memory.New()
+			put(t, table, c.state)
+			if err := newService(table, &health{}).Cancel(within(t, time.Second), "q", "a"); err != nil {
+				t.Fatal(err)
+			}
+			got, err := newService(table, &health{}).State(within(t, time.Second), "q", "a")
+			if err != nil || got != c.want {
+				t.Errorf("state %q, %v; want %q", got, err, c.want)
+			}
+			marked := table.Value(store.CancelKey("a")) != nil
+			if marked != (c.want == jobs.StateCancelled) {
+				t.Errorf("the duty holder is told to stop it: %v", marked)
+			}
+		})
+	}
+}
+
+func put(t *testing.T, table *memory.Table, state jobs.State) {
+	t.Helper()
+	row := jobs.PublicState{State: state, Queue: "q"}
+	_, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: store.StateKey("a"), Value: jobs.Encode(&row)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a count of pending jobs that lacks a page or counts another queue's.
+func TestPendingCountsAllPagesOfOneQueue(t *testing.T) {
+	table := memory.New()
+	s := newService(table, &health{})
+	const count = store.PageSize + 20
+	for i := range count {
+		if err := s.Submit(within(t, time.Second), spec(fmt.Sprintf("%04d", i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	other := spec("other")
+	other.Queue = "q2"
+	if err := s.Submit(within(t, time.Second), other); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := s.Pending(within(t, time.Second), "q"); err != nil || got != count {
+		t.Errorf("%d pending, %v; want %d", got, err, count)
+	}
+}
