Give the duty to the instance that carries it best

Cause: on the grown sites instances have 0.11 to 0.8 cores, and the first to claim the duty was a small one. Change: instances publish their share and round trip in rows; those that carry the duty better get a head start. Placement stops looking once 40 workers fit.

--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -156,3 +156,28 @@
 		t.Error("the row of the own earlier life is not vacant")
 	}
 }
+
+// Guards against a duty on the smallest instance while larger ones are there.
+func TestPlaceFollowsWhatInstancesCarry(t *testing.T) {
+	table := memory.New()
+	for _, m := range []duty.Member{
+		{Name: "small", CPUShare: 0.1, RoundTrip: time.Millisecond},
+		{Name: "large", CPUShare: 0.8, RoundTrip: time.Millisecond},
+		{Name: "largest and far", CPUShare: 1, RoundTrip: 30 * time.Millisecond},
+	} {
+		if err := duty.Register(context.Background(), table, m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		name, holder string
+		want         int
+	}{
+		{"large", "", 0}, {"largest and far", "", 1}, {"small", "", 2}, {"largest and far", "large", 0}, {"unknown", "", 3},
+	} {
+		got, err := duty.Place(context.Background(), table, c.name, c.holder)
+		if err != nil || got != c.want {
+			t.Errorf("%s after %q: place %d, %v; want %d", c.name, c.holder, got, err, c.want)
+		}
+	}
+}
--- a/entry/dutyservice.go
+++ b/entry/dutyservice.go
@@ -15,12 +15,12 @@
 	"bronzehook/store"
 )
 
-// Preference for instances that are near the store: others wait longer before they take the duty over.
+// Preference for instances that carry the duty better: each of them is given a head start.
 const (
-	nearRoundTrip = 15 * time.Millisecond
-	farPenalty    = 900 * time.Millisecond
-	// coldPenalty lets instances near the store take a duty that nobody has held yet or that was released.
-	coldPenalty = 350 * time.Millisecond
+	headStart    = 200 * time.Millisecond
+	maxHeadStart = 900 * time.Millisecond
+	// firstWait lets all instances register before the duty is taken for the first time.
+	firstWait = 700 * time.Millisecond
 )
 
 // releaseTimeout bounds the hand-over of the duty during a planned stop.
@@ -31,12 +31,15 @@
 	table     store.Table
 	roundTrip func() time.Duration
 	name      string
+	cpuShare  float64
 	options   execution.Options
 	logger    zerolog.Logger
 
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	holding atomic.Bool
+	// deregister makes a second Stop harmless.
+	deregister sync.Once
 }
 
 // Name implements kernel.Service.
@@ -61,14 +64,25 @@
 func (s *dutyService) Stop(context.Context) error {
 	s.cancel()
 	s.done.Wait()
+	s.deregister.Do(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if err := duty.Deregister(ctx, s.table, s.name); err != nil {
+			s.logger.Warn().AnErr("error", err).Msg("instance not deregistered")
+		}
+	})
 	return nil
 }
 
 func (s *dutyService) run(ctx context.Context) {
 	candidate := duty.NewCandidate(s.table, s.options.Clock, s.name, time.Now().UnixNano())
+	registered := false
 	for ctx.Err() == nil {
 		seen, err := candidate.Observe(ctx)
-		if err == nil && candidate.Vacant(seen, duty.Patience+s.penalty(farPenalty)) {
+		if err == nil && !registered {
+			registered = s.register(ctx)
+		}
+		if err == nil && candidate.Vacant(seen, duty.Patience) && s.mayTake(ctx, candidate, &seen) {
 			s.take(ctx, candidate, seen)
 			continue
 		}
@@ -76,11 +90,36 @@
 	}
 }
 
-func (s *dutyService) penalty(far time.Duration) time.Duration {
-	if s.roundTrip() > nearRoundTrip {
-		return far
+func (s *dutyService) register(ctx context.Context) bool {
+	err := duty.Register(ctx, s.table, duty.Member{Name: s.name, CPUShare: s.cpuShare, RoundTrip: s.roundTrip()})
+	if err != nil {
+		s.logger.Warn().AnErr("error", err).Msg("instance not registered")
+	}
+	return err == nil
+}
+
+// mayTake waits for instances that carry the duty better and reports whether it is still vacant after that.
+func (s *dutyService) mayTake(ctx context.Context, candidate *duty.Candidate, seen *duty.Observation) bool {
+	if seen.Row.Holder == s.name {
+		return true
 	}
-	return 0
+	if seen.Version == 0 {
+		sleep(ctx, firstWait)
+	}
+	place, err := duty.Place(ctx, s.table, s.name, seen.Row.Holder)
+	if err != nil {
+		return true
+	}
+	if place == 0 {
+		return true
+	}
+	sleep(ctx, min(maxHeadStart, time.Duration(place)*headStart))
+	again, err := candidate.Observe(ctx)
+	if err != nil || again.Version != seen.Version {
+		return false
+	}
+	*seen = again
+	return true
 }
 
 func (s *dutyService) take(ctx context.Context, candidate *duty.Candidate, seen duty.Observation) {
@@ -88,9 +127,6 @@
 		sleep(ctx, duty.PollEvery/4)
 		return
 	}
-	if seen.Row.Holder != s.name {
-		sleep(ctx, s.penalty(coldPenalty))
-	}
 	holder, err := candidate.Take(ctx, seen)
 	if err != nil {
 		s.logger.Info().Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("duty not taken")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,7 @@
 	registry := prometheus.NewRegistry()
 	n := &node{logger: logger}
 	n.duty = &dutyService{
-		table: table, roundTrip: table.Health().RoundTrip, name: s.ID, logger: logger,
+		table: table, roundTrip: table.Health().RoundTrip, name: s.ID, cpuShare: s.CPUShare, logger: logger,
 		options: execution.Options{
 			Table: table, Workers: platform.NewWorkers(), Manifest: current, WorkersTable: platform.WorkersTable,
 			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: time.Now, Logger: logger,
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -174,7 +174,7 @@
 
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
-		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one, t.scheduledAt),
+		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one, t.scheduledAt), Offset: t.nextOffset(),
 		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
 	}
 	if one.step.RackSensitive {
@@ -183,6 +183,14 @@
 	return request
 }
 
+// offsetStride spreads the first workers that successive placements look at.
+const offsetStride = 37
+
+func (t *Term) nextOffset() int {
+	t.offset += offsetStride
+	return t.offset
+}
+
 func countOn(tasks []*task, id workers.ID) int {
 	count := 0
 	for _, task := range tasks {
--- a/execution/term.go
+++ b/execution/term.go
@@ -85,6 +85,7 @@
 	unplaced     bool
 	nextSchedule time.Duration
 	scheduledAt  time.Duration
+	offset       int
 	failure      error
 	began        time.Duration
 	superviseAt  time.Duration
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -128,16 +128,24 @@
 	Avoid workers.ID
 	// Disturbance predicts the effect of fillers on serving tasks.
 	Disturbance *Disturbance
+	// Offset rotates the order in which workers are looked at, so that no worker is preferred among equals.
+	Offset int
 	// Headroom is kept free on each worker for more urgent tasks, in thousandths of a core.
 	Headroom int
 }
 
+// enough is the number of workers that fit after which a task without special wishes goes to the best of them, so that
+// one placement does not grow with every worker.
+const enough = 40
+
 // Choose returns the best worker, or nil and why there is none.
 func Choose(nodes []*Node, request Request) (*Node, Reason) {
 	var best *Node
 	var bestScore float64
 	reason := ReasonNoWorker
-	for _, node := range nodes {
+	fitting := 0
+	for i := range nodes {
+		node := nodes[(i+request.Offset)%len(nodes)]
 		refused := check(node, &request)
 		if refused != ReasonNone {
 			reason = moreSpecific(reason, refused)
@@ -146,6 +154,9 @@
 		if score := rank(node, &request); best == nil || score > bestScore {
 			best, bestScore = node, score
 		}
+		if fitting++; fitting >= enough && !request.choosy() {
+			break
+		}
 	}
 	if best != nil {
 		return best, ReasonNone
@@ -153,6 +164,11 @@
 	return nil, reason
 }
 
+// choosy reports whether a task is better off where few workers are.
+func (r *Request) choosy() bool {
+	return r.Step.Serves() || r.Step.Affinity != "" || r.Step.RackSensitive
+}
+
 var specificity = map[Reason]int{
 	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
 }
--- a/store/store.go
+++ b/store/store.go
@@ -123,6 +123,8 @@
 	TablePending = "pending"
 	// TableDuty holds the row of the duty.
 	TableDuty = "duty"
+	// TableMembers holds a row for each instance that may take the duty.
+	TableMembers = "members"
 )
 
 // Prefixes of the names in TableIntake.
