Follow the advice of queues that have it, and give up on a silent store sooner

Cause: a queue may have advice, without whose ticket workers refuse starts; requests were held 1.5 s by a silent store. Before/after: with advice no start was possible; the test of advice fails without the change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -90,6 +90,9 @@
 			LeaseLength: s.LeaseLength(), Metrics: execution.NewMetrics(registry),
 		},
 	}
+	if s.AdviceAddr != "" {
+		n.duty.options.Advisor = platform.NewAdvisor(s.AdviceAddr)
+	}
 	callers := intake.New(table, table.Health(), current, logger)
 	n.callers = &callerServer{addr: s.CallerAddr, handler: n.markLast(platform.NewCallerHandler(callers))}
 	ready := func() bool {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,6 +30,7 @@
 	ReadyAddr   string  `long:"ready-addr" env:"BRONZEHOOK_READY_ADDR" description:"IP address and port for the platform's question whether this instance is ready (HTTP)"`
 	MetricsAddr string  `long:"metrics-addr" env:"BRONZEHOOK_METRICS_ADDR" description:"IP address and port for metrics (HTTP); empty serves none"`
 	StoreAddr   string  `long:"store-addr" env:"BRONZEHOOK_STORE_ADDR" description:"IP address and port of the platform's store"`
+	AdviceAddr  string  `long:"advice-addr" env:"BRONZEHOOK_ADVICE_ADDR" description:"IP address and port of the service that says which workers may run a step; empty if there is none"`
 	CPUShare    float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, above 0"`
 	MemoryLimit int     `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 64 to 65536"`
 
--- /dev/null
+++ b/execution/advice.go
@@ -0,0 +1,149 @@
+package execution
+
+import (
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/logging"
+	"bronzehook/workers"
+)
+
+// Bounds of questions to the advice service.
+const (
+	// maxAsked bounds the workers in one question: each of them takes time to judge.
+	maxAsked = 30
+	// ticketReserve is kept back from a ticket's validity for the way of the order.
+	ticketReserve = 400 * time.Millisecond
+	adviceRetry   = 250 * time.Millisecond
+)
+
+// advised is what is known of the workers that may run a step.
+type advised struct {
+	tickets map[workers.ID]ticket
+	// refused holds workers that may not run the step, which does not change.
+	refused map[workers.ID]bool
+	askedAt time.Duration
+}
+
+type ticket struct {
+	text  string
+	born  int64
+	until time.Duration
+}
+
+// ticketFor returns a valid ticket of a worker.
+func (a *advised) ticketFor(w *worker, now time.Duration) (string, bool) {
+	t, ok := a.tickets[w.id()]
+	return t.text, ok && t.born == w.born && now < t.until-ticketReserve
+}
+
+// allowed returns which workers may run a step of a queue under advice now, and asks for more if none has room. A queue
+// without advice allows all.
+func (t *Term) allowed(j *job, o *occurrence, step int, now time.Duration) func(workers.ID) bool {
+	if j.queue.Advice == nil {
+		return nil
+	}
+	a := o.advised[step]
+	if a == nil {
+		a = &advised{tickets: make(map[workers.ID]ticket), refused: make(map[workers.ID]bool)}
+		if o.advised == nil {
+			o.advised = make(map[int]*advised)
+		}
+		o.advised[step] = a
+	}
+	if !t.hasRoom(a, &j.spec.Steps[step], now) {
+		t.ask(j, o, step, a, now)
+	}
+	return func(id workers.ID) bool {
+		w := t.workers[id]
+		if w == nil {
+			return false
+		}
+		_, ok := a.ticketFor(w, now)
+		return ok
+	}
+}
+
+func (t *Term) hasRoom(a *advised, step *jobs.Step, now time.Duration) bool {
+	for id := range a.tickets {
+		w := t.workers[id]
+		if w == nil || !w.node.Usable || !step.Reserved().Fits(w.node.Free()) {
+			continue
+		}
+		if _, ok := a.ticketFor(w, now); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// ask sends one question at a time: the service handles the questions of a machine one after the other, and the most
+// urgent step is asked for first.
+func (t *Term) ask(j *job, o *occurrence, step int, a *advised, now time.Duration) {
+	if t.asking || t.opts.Advisor == nil || now < a.askedAt+adviceRetry {
+		return
+	}
+	var ids []workers.ID
+	for id, w := range t.workers {
+		fits := w.node.Usable && w.node.Entry.Service == j.queue.Service && j.spec.Steps[step].Reserved().Fits(w.node.Free())
+		if fits && !a.refused[id] {
+			ids = append(ids, id)
+		}
+		if len(ids) == maxAsked {
+			break
+		}
+	}
+	if len(ids) == 0 {
+		return
+	}
+	number := 0
+	for k, other := range j.occurrences {
+		if other == o {
+			number = k
+		}
+	}
+	t.asking = true
+	a.askedAt = now
+	question := jobs.Task{Job: j.spec.ID, Occurrence: number, Step: step}
+	go func() {
+		advice, err := t.opts.Advisor.Advise(t.ctx, question, ids)
+		t.post(func() { t.advisedOf(a, question, ids, now, advice, err) })
+	}()
+}
+
+// advisedOf takes up an answer.
+func (t *Term) advisedOf(
+	a *advised, question jobs.Task, ids []workers.ID, asked time.Duration, advice workers.Advice, err error,
+) {
+	t.asking = false
+	t.unplaced = true
+	event := t.log.Info()
+	if err != nil {
+		event = t.log.Warn().AnErr("error", err)
+	}
+	event.Stringer(logging.KeyTask, question).Int("asked", len(ids)).Int("good", len(advice.Tickets)).
+		Dur("valid", advice.Valid).Msg("advice on a step")
+	if err != nil {
+		return
+	}
+	for _, id := range ids {
+		text, good := advice.Tickets[id]
+		if !good {
+			a.refused[id] = true
+			continue
+		}
+		if w := t.workers[id]; w != nil {
+			a.tickets[id] = ticket{text: text, born: w.born, until: asked + advice.Valid}
+		}
+	}
+}
+
+// ticketOf returns the ticket that goes with an order.
+func (t *Term) ticketOf(r *run, now time.Duration) string {
+	o := r.task.job.occurrences[r.task.id.Occurrence]
+	if o == nil || o.advised[r.task.id.Step] == nil {
+		return ""
+	}
+	text, _ := o.advised[r.task.id.Step].ticketFor(r.worker, now)
+	return text
+}
--- a/execution/model.go
+++ b/execution/model.go
@@ -79,6 +79,8 @@
 	steps [][]*task
 	// left counts the tasks of each step that are not done.
 	left []int
+	// advised holds the advice on steps; nil where none was asked for.
+	advised map[int]*advised
 }
 
 // job is a live job.
--- a/execution/orders.go
+++ b/execution/orders.go
@@ -36,7 +36,7 @@
 	w.grant(now, t.opts.LeaseLength)
 	order := workers.Start{
 		Target: t.target(w), Task: r.task.id, Attempt: r.attempt, Text: r.task.job.spec.Text,
-		Checkpoint: r.task.checkpoint, LeaseEnd: w.clockNow(now) + t.opts.LeaseLength.Milliseconds(),
+		Checkpoint: r.task.checkpoint, Ticket: t.ticketOf(r, now), LeaseEnd: w.clockNow(now) + t.opts.LeaseLength.Milliseconds(),
 	}
 	go func() {
 		if !t.holder.Valid() {
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -143,22 +143,28 @@
 	tasks := o.steps[number]
 	step := &j.spec.Steps[number]
 	if step.Gang {
-		t.placeGang(j, tasks, step)
+		t.placeGang(j, tasks, step, t.allowed(j, o, number, now))
 		return
 	}
+	var allowed func(workers.ID) bool
+	asked := false
 	for _, task := range tasks {
 		if task.done || task.run != nil {
 			continue
 		}
-		if !t.place(j, task, tasks) {
+		if !asked {
+			allowed, asked = t.allowed(j, o, number, now), true
+		}
+		if !t.place(j, task, tasks, allowed) {
 			return
 		}
 	}
 }
 
 // place records an attempt of a task on the best worker.
-func (t *Term) place(j *job, one *task, siblings []*task) bool {
+func (t *Term) place(j *job, one *task, siblings []*task, allowed func(workers.ID) bool) bool {
 	request := t.request(j, one, siblings)
+	request.Allowed = allowed
 	if t.failures.Hopeless(&request) {
 		return false
 	}
@@ -233,7 +239,7 @@
 }
 
 // placeGang places all tasks of a gang under one attempt number, or none of them.
-func (t *Term) placeGang(j *job, tasks []*task, step *jobs.Step) {
+func (t *Term) placeGang(j *job, tasks []*task, step *jobs.Step, allowed func(workers.ID) bool) {
 	attempt := 0
 	for _, task := range tasks {
 		if task.run != nil {
@@ -246,7 +252,8 @@
 	rack := ""
 	for range tasks {
 		node, reason := placement.Choose(t.nodes.all, placement.Request{
-			Step: step, Service: j.queue.Service, RackInUse: rack, Disturbance: t.disturbance, OnNode: func(id workers.ID) int { return onNode[id] },
+			Step: step, Service: j.queue.Service, RackInUse: rack, Disturbance: t.disturbance, Allowed: allowed,
+			OnNode: func(id workers.ID) int { return onNode[id] },
 		})
 		if node == nil {
 			t.opts.Metrics.unplaced(string(reason))
--- a/execution/term.go
+++ b/execution/term.go
@@ -18,8 +18,10 @@
 
 // Options configures terms of office.
 type Options struct {
-	Table    store.Table
-	Workers  workers.Client
+	Table   store.Table
+	Workers workers.Client
+	// Advisor is nil where no queue has advice.
+	Advisor  workers.Advisor
 	Manifest *manifest.Holder
 	// WorkersTable has one row for each worker; ParseEntry reads it.
 	WorkersTable string
@@ -77,6 +79,9 @@
 	// usable counts the usable workers, capacity their processors.
 	usable, capacity int
 
+	// asking is set while a question to the advice service is under way.
+	asking bool
+
 	dirty      []*job
 	committing bool
 	nextCommit time.Duration
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -400,3 +400,38 @@
 		t.Errorf("the first look after a failure lets the worker forget ends up to %d", last.SeenUpTo)
 	}
 }
+
+// fakeAdvisor allows one worker.
+type fakeAdvisor struct{ allowed workers.ID }
+
+func (f *fakeAdvisor) Advise(context.Context, jobs.Task, []workers.ID) (workers.Advice, error) {
+	return workers.Advice{Tickets: map[workers.ID]string{f.allowed: "ticket"}, Valid: 3 * time.Second}, nil
+}
+
+// Guards against a start on a worker that the advice does not allow, or without the ticket.
+func TestAdviceIsFollowed(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.opts.Manifest.Offer((&manifest.Manifest{Version: 2, Queues: []manifest.Queue{
+		{Name: testQueue, Service: "s", MaxAttempts: 2, Stretch: 2, LatencyTarget: time.Second, Advice: &manifest.Advice{}},
+	}}).Index())
+	r.opts.Advisor = &fakeAdvisor{allowed: "good"}
+	for _, id := range []string{"bad-1", "good", "bad-2"} {
+		r.addWorker(id, 1000)
+	}
+	r.submit("a", oneStep(3, 100))
+	r.pass()
+	if n := r.client.startCount(); n != 0 {
+		t.Fatalf("%d starts before the advice", n)
+	}
+	r.pass()
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	if len(r.client.starts) != 3 {
+		t.Fatalf("%d starts", len(r.client.starts))
+	}
+	for _, start := range r.client.starts {
+		if start.ID != "good" || start.Ticket != "ticket" {
+			t.Errorf("started on %s with ticket %q", start.ID, start.Ticket)
+		}
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,7 +23,7 @@
 	// retryPause is the mean pause before a refused call is tried again.
 	retryPause = 40 * time.Millisecond
 	// refusedBudget bounds the time that refused calls are tried again, so that a refusal comes early.
-	refusedBudget = 250 * time.Millisecond
+	refusedBudget = 150 * time.Millisecond
 	// reserve is kept back from a caller's deadline for the way of the answer.
 	reserve = 150 * time.Millisecond
 	// countAge is the greatest age of a count of pending jobs.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -106,14 +106,15 @@
 
 // The reasons, from the least to the most specific.
 const (
-	ReasonNone      Reason = ""
-	ReasonNoWorker  Reason = "no-worker"
-	ReasonNoLabel   Reason = "no-worker-with-label"
-	ReasonTooLarge  Reason = "larger-than-any-worker"
-	ReasonNoRoom    Reason = "no-room"
-	ReasonSpread    Reason = "spread-over-workers"
-	ReasonSeparated Reason = "kept-apart-from-serving-tasks"
-	ReasonHeadroom  Reason = "headroom-for-more-urgent-tasks"
+	ReasonNone       Reason = ""
+	ReasonNoWorker   Reason = "no-worker"
+	ReasonNotAllowed Reason = "not-allowed-by-advice"
+	ReasonNoLabel    Reason = "no-worker-with-label"
+	ReasonTooLarge   Reason = "larger-than-any-worker"
+	ReasonNoRoom     Reason = "no-room"
+	ReasonSpread     Reason = "spread-over-workers"
+	ReasonSeparated  Reason = "kept-apart-from-serving-tasks"
+	ReasonHeadroom   Reason = "headroom-for-more-urgent-tasks"
 )
 
 // Request asks for a worker for one task.
@@ -122,6 +123,8 @@
 	Service string
 	// OnNode counts the tasks of the same step and occurrence on a worker.
 	OnNode func(workers.ID) int
+	// Allowed reports whether a worker may run the step; nil allows all.
+	Allowed func(workers.ID) bool
 	// RackInUse is the rack of the other tasks of a rack-sensitive step; empty if there are none.
 	RackInUse string
 	// Avoid names a worker on which the task did not get on; empty if there is none.
@@ -170,7 +173,7 @@
 }
 
 var specificity = map[Reason]int{
-	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
+	ReasonNoWorker: 0, ReasonNotAllowed: 1, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
 }
 
 func moreSpecific(a, b Reason) Reason {
@@ -186,6 +189,8 @@
 	switch {
 	case !node.Usable || node.Entry.Service != request.Service:
 		return ReasonNoWorker
+	case request.Allowed != nil && !request.Allowed(node.Entry.ID):
+		return ReasonNotAllowed
 	case step.Requires != "" && !node.Entry.HasLabel(step.Requires):
 		return ReasonNoLabel
 	case !step.Reserved().Fits(node.Entry.Capacity):
@@ -307,7 +312,7 @@
 
 // Note remembers a refusal. Refusals that come from where the step's other tasks are say nothing of other steps.
 func (f *Failures) Note(request *Request, reason Reason) {
-	if reason == ReasonSpread || request.Step.AntiAffinity > 0 {
+	if reason == ReasonSpread || request.Step.AntiAffinity > 0 || request.Allowed != nil {
 		return
 	}
 	if f.smallest == nil {
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -130,6 +130,17 @@
 	Pace(ctx context.Context, target Target, task jobs.Task, attempt, percent int) error
 }
 
+// Advice names the workers that may run a step, each with the ticket that a start has to carry.
+type Advice struct {
+	Tickets map[ID]string
+	Valid   time.Duration
+}
+
+// Advisor answers which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, step jobs.Task, ids []ID) (Advice, error)
+}
+
 // Reason says why a worker refused an order.
 type Reason string
 
