--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return reportStartFailure(err)
 	}
+	zerolog.TimeFieldFormat = logging.TimeFormat
 	out := logging.NewBounded(os.Stdout)
 	defer out.Close()
 	logger := logging.New(out, level).With().Str(logging.KeyInstance, s.ID).Logger()
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -67,8 +68,14 @@
 	worth int
 	// work is what is left to do, in core-seconds by the caller's estimates.
 	work float64
+	// score is the slack in seconds, plus a term that grows with the work left. With more work than room the most jobs
+	// end in time if small ones go first; by size alone large ones would never be served.
+	score float64
 }
 
+// sizeWeight is the slack in seconds that weighs as much as twice the work.
+const sizeWeight = 4.0
+
 // rankOf computes a job's rank from the steps that are not done.
 func rankOf(j *job, today time.Time) rank {
 	var r rank
@@ -91,17 +98,18 @@
 		}
 	}
 	end := today.Add(chain)
+	limit := j.deadline
 	switch {
 	case end.After(j.late):
 		r.worth = 2
 	case end.After(j.deadline):
-		r.worth = 1
+		r.worth, limit = 1, j.late
 	}
+	r.score = limit.Sub(end).Seconds() + sizeWeight*math.Log2(1+r.work)
 	return r
 }
 
-// moreUrgent orders jobs by priority, by what they can still earn, and then by the least work left: with more work than
-// room the most jobs end in time that way.
+// moreUrgent orders jobs by priority, by what they can still earn, and then by their score.
 func moreUrgent(a, b *job) bool {
 	if a.queue.Priority != b.queue.Priority {
 		return a.queue.Priority < b.queue.Priority
@@ -109,10 +117,7 @@
 	if a.rank.worth != b.rank.worth {
 		return a.rank.worth < b.rank.worth
 	}
-	if a.rank.work != b.rank.work {
-		return a.rank.work < b.rank.work
-	}
-	return a.deadline.Before(b.deadline)
+	return a.rank.score < b.rank.score
 }
 
 // placeJob places the tasks whose turn has come.
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -20,6 +20,9 @@
 	KeyReason   = "reason"
 )
 
+// TimeFormat is the form of the time in each line, in UTC where the process runs so.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes lines of key=value pairs to out.
 func New(out io.Writer, level zerolog.Level) zerolog.Logger {
 	return zerolog.New(&lineWriter{out: out}).Level(level).With().Timestamp().Logger()
