Verify a job's public state before its first attempt; slow one filler at a time

Change: the first commit of a job is conditional on its public state; a job that has ended is cleared away.

--- a/execution/commit.go
+++ b/execution/commit.go
@@ -16,7 +16,8 @@
 	job      *job
 	sequence uint64
 	state    jobs.State
-	// wroteState, endedPending and final say which rows were written.
+	// conditional says that the public state was compared; wroteState, endedPending and final which rows were written.
+	conditional  bool
 	wroteState   bool
 	endedPending bool
 	final        bool
@@ -66,9 +67,12 @@
 func (t *Term) buildChange(txn *store.Txn, j *job) change {
 	id := string(j.spec.ID)
 	c := change{job: j, sequence: j.sequence, state: j.state}
+	if j.state != j.stored || !j.verified {
+		c.conditional = true
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: store.StateKey(id), Version: j.stateVersion})
+	}
 	if j.state != j.stored {
 		state := jobs.PublicState{State: j.state, Queue: j.spec.Queue, Changed: t.opts.Now().UnixMilli()}
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: store.StateKey(id), Version: j.stateVersion})
 		txn.Puts = append(txn.Puts, store.Put{Key: store.StateKey(id), Value: jobs.Encode(&state)})
 		c.wroteState = true
 	}
@@ -141,6 +145,7 @@
 func (t *Term) committedChange(c change, version uint64) {
 	j := c.job
 	j.committed = c.sequence
+	j.verified = j.verified || c.conditional
 	if c.wroteState {
 		j.stored, j.stateVersion = c.state, version
 	}
@@ -188,24 +193,42 @@
 	}
 }
 
+// resolveStates learns the public states that differ from what was known: a caller has cancelled the job, an earlier
+// commit without an answer took effect, or the job had ended before this term read it.
 func (t *Term) resolveStates(batch []change, conflict *store.ConflictError) {
 	for _, c := range batch {
-		if !c.wroteState {
-			continue
-		}
-		current := conflict.Find(store.StateKey(string(c.job.spec.ID)))
-		if current.Version == c.job.stateVersion {
+		j := c.job
+		if !c.conditional {
 			continue
 		}
-		c.job.stateVersion = current.Version
-		state, err := jobs.Decode[jobs.PublicState]("state", current.Value)
-		if err != nil {
-			t.log.Error().Str(logging.KeyRequest, string(c.job.spec.ID)).AnErr("error", err).Msg("state unreadable")
+		current := conflict.Find(store.StateKey(string(j.spec.ID)))
+		if current.Version == j.stateVersion {
 			continue
 		}
-		if state.State == jobs.StateCancelled {
-			t.cancel(c.job)
+		j.stateVersion = current.Version
+		state := &jobs.PublicState{State: jobs.StateCancelled}
+		if current.Version != 0 {
+			var err error
+			if state, err = jobs.Decode[jobs.PublicState]("state", current.Value); err != nil {
+				t.log.Error().Str(logging.KeyRequest, string(j.spec.ID)).AnErr("error", err).Msg("state unreadable")
+				continue
+			}
 		}
+		t.takeState(j, state.State)
+	}
+}
+
+// takeState takes up a public state that this term has not written, as far as it knows.
+func (t *Term) takeState(j *job, state jobs.State) {
+	j.stored = state
+	switch {
+	case state == jobs.StateCancelled:
+		t.cancel(j)
+	case state.Terminal():
+		t.log.Warn().Str(logging.KeyRequest, string(j.spec.ID)).Str("state", string(state)).Msg("job had ended before")
+		j.state = state
+		t.stopAll(j, "the job has ended")
+		t.touch(j)
 	}
 }
 
--- a/execution/model.go
+++ b/execution/model.go
@@ -95,10 +95,13 @@
 	stored      jobs.State
 	// stateVersion is the version of the public state as last read or written.
 	stateVersion uint64
-	recorded     bool
-	pending      bool
-	begun        bool
-	cancelled    bool
+	// verified is set once a commit has shown that the public state is as known. A job may have been read from an excerpt
+	// that is older than its end.
+	verified  bool
+	recorded  bool
+	pending   bool
+	begun     bool
+	cancelled bool
 
 	// sequence counts changes; committed is the newest change that is stored.
 	sequence  uint64
--- a/execution/relief.go
+++ b/execution/relief.go
@@ -23,6 +23,8 @@
 	// fullPace and the least pace other than 0, in percent of a filler's share.
 	fullPace = 100
 	minPace  = 10
+	// minSlowPush keeps the division by a push that is not known yet finite.
+	minSlowPush = 1e-3
 )
 
 // mixed reports whether fillers run beside serving tasks.
@@ -107,23 +109,21 @@
 	}
 }
 
-// slowDown reduces the fillers that disturb an image the most until the predicted tail is well under the target.
+// slowDown reduces the filler that disturbs an image the most, so that the predicted tail is well under the target. One
+// at a time: what is measured next tells whether that was enough.
 func (t *Term) slowDown(w *worker, image string, level float64, now time.Duration) {
 	need := level - placement.LevelAimed
 	for _, r := range t.fillersByPush(w, image) {
-		push := t.push(r, image)
-		if need <= 0 || push <= 0 {
-			return
+		if r.pace == 0 {
+			continue
 		}
-		keep := max(0, 1-need/push)
-		pace := int(float64(r.pace) * keep)
+		push := max(t.push(r, image), minSlowPush)
+		pace := int(float64(r.pace) * max(0, 1-need/push))
 		if pace < minPace {
 			pace = 0
 		}
-		need -= push * (1 - keep)
-		if pace < r.pace {
-			t.setPace(r, pace, image, level, now)
-		}
+		t.setPace(r, pace, image, level, now)
+		return
 	}
 }
 
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -74,12 +74,17 @@
 }
 
 // sizeWeight is the slack in seconds that weighs as much as twice the work.
-const sizeWeight = 4.0
+const sizeWeight = 1.5
+
+// progressWeight is the slack in seconds that a job that is nearly done is ahead of one that has not begun: what has
+// begun is brought to its end, or large jobs would be overtaken until they are worth nothing.
+const progressWeight = 8.0
 
 // rankOf computes a job's rank from the steps that are not done.
 func rankOf(j *job, today time.Time) rank {
 	var r rank
 	var chain time.Duration
+	left, total := 0, 0
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
@@ -90,6 +95,8 @@
 			for _, earlier := range step.After {
 				lengths[s] = max(lengths[s], lengths[earlier])
 			}
+			left += o.left[s]
+			total += step.Count
 			if o.left[s] > 0 {
 				lengths[s] += step.Estimate
 				r.work += float64(o.left[s]*step.Resources.CPU) * step.Estimate.Seconds() / 1000
@@ -105,7 +112,8 @@
 	case end.After(j.deadline):
 		r.worth, limit = 1, j.late
 	}
-	r.score = limit.Sub(end).Seconds() + sizeWeight*math.Log2(1+r.work)
+	progress := 1 - float64(left)/float64(max(1, total))
+	r.score = limit.Sub(end).Seconds() + sizeWeight*math.Log2(1+r.work) - progressWeight*progress
 	return r
 }
 
@@ -176,6 +184,7 @@
 	node, reason := placement.Choose(t.nodes.all, request)
 	if node == nil {
 		t.failures.Note(&request, reason)
+		t.refusals[reason]++
 		t.opts.Metrics.unplaced(string(reason))
 		return false
 	}
--- a/execution/stock.go
+++ b/execution/stock.go
@@ -7,7 +7,7 @@
 
 // logStock sums up the fleet, so that a log alone tells why work waited.
 func (t *Term) logStock(now time.Duration) {
-	if now < t.stockAt {
+	if now < t.stockAt || t.usable == 0 {
 		return
 	}
 	t.stockAt = now + stockEvery
@@ -44,5 +44,7 @@
 	t.log.Info().Int("jobs", len(t.jobs)).Int("not_begun", waiting).Int("usable", usable).Int("silent", silent).
 		Int("serving_workers", servingNodes).Int("filler_workers", fillerNodes).Int("free_cpu", free).
 		Int("leftover_cpu", leftover).Int("serving", serving).Int("fillers", fillers).Int("other", other).
-		Dur("duty_age", t.holder.Age()).Msg("fleet")
+		Int("headroom", t.spread(t.urgent.missing())).Int("short_headroom", t.spread(t.short.missing())).
+		Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
+	clear(t.refusals)
 }
--- a/execution/term.go
+++ b/execution/term.go
@@ -74,6 +74,8 @@
 
 	disturbance *placement.Disturbance
 	failures    placement.Failures
+	// refusals counts, since the last line about the fleet, why tasks could not be placed.
+	refusals map[placement.Reason]int
 	// urgent and short are the demand for short work of the first priority and for all short work.
 	urgent, short demand
 	// usable counts the usable workers, capacity their processors.
@@ -105,6 +107,7 @@
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
 		unsettled: make(map[*run]struct{}),
 		unplaced:  true, disturbance: placement.NewDisturbance(),
+		refusals: make(map[placement.Reason]int),
 	}
 }
 
--- a/placement/disturbance.go
+++ b/placement/disturbance.go
@@ -19,11 +19,11 @@
 	// regularisation keeps samples with little filler work from changing much.
 	regularisation = 0.02
 	// admitBelow is the share of the latency target up to which a prediction lets more filler work in.
-	admitBelow = 0.72
+	admitBelow = 0.62
 	// defaultBase is the share of the target that an unknown image is taken to need undisturbed.
 	defaultBase = 0.5
 	// servingUse is the share of their processors that serving tasks use on average.
-	servingUse = 0.5
+	servingUse = 0.45
 )
 
 // Disturbance learns how much filler tasks slow the answers of serving tasks beside them, by pairs of images. It is not
