--- a/placement/placement.go
+++ b/placement/placement.go
@@ -208,11 +208,15 @@
 	return ReasonNone
 }
 
+// fillerFit divides what a filler asks for to get what has to be left over for it. Fillers share what there is; if all of it
+// had to be free, large ones would wait while small ones take every remainder.
+const fillerFit = 2
+
 // checkFiller keeps filler tasks away from serving tasks whose response times they would spoil, and starts no more than
-// the leftover processors can carry at full speed.
+// the leftover processors can carry.
 func checkFiller(node *Node, request *Request) Reason {
 	step := request.Step
-	if node.Leftover() < step.Resources.CPU && node.Fillers > 0 {
+	if node.Leftover() < step.Resources.CPU/fillerFit && node.Fillers > 0 {
 		return ReasonNoRoom
 	}
 	if node.Serving > 0 && (request.Disturbance == nil || !request.Disturbance.Admits(node, step)) {
