Try lasting tasks of a step by the headroom that each has to leave

Change: a task is tried if it has to leave less headroom than the one that was refused; small instances that can't read how others carry the duty wait for them. Before/after: the new test fails without the change.

--- a/entry/dutyservice.go
+++ b/entry/dutyservice.go
@@ -21,6 +21,9 @@
 	maxHeadStart = 900 * time.Millisecond
 	// firstWait lets all instances register before the duty is taken for the first time.
 	firstWait = 700 * time.Millisecond
+	// unknownPlace is assumed by instances with less than smallShare of a core that can't read how others carry the duty.
+	unknownPlace = 3
+	smallShare   = 0.5
 )
 
 // releaseTimeout bounds the hand-over of the duty during a planned stop.
@@ -107,8 +110,8 @@
 		sleep(ctx, firstWait)
 	}
 	place, err := duty.Place(ctx, s.table, s.name, seen.Row.Holder)
-	if err != nil {
-		return true
+	if err != nil && s.cpuShare < smallShare {
+		place = unknownPlace
 	}
 	if place == 0 {
 		return true
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -161,14 +161,19 @@
 	}
 	var allowed func(workers.ID) bool
 	asked := false
+	refused := math.MaxInt
 	for _, task := range tasks {
-		if task.done || task.run != nil {
+		// The tasks ask for the same. Those that last differ by how much headroom they have to leave after their wait.
+		if task.done || task.run != nil || t.headroom(task, now) >= refused {
 			continue
 		}
 		if !asked {
 			allowed, asked = t.allowed(j, o, number, now), true
 		}
 		if !t.place(j, task, tasks, allowed) {
+			refused = t.headroom(task, now)
+		}
+		if refused == 0 {
 			return
 		}
 	}
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -463,3 +463,20 @@
 		t.Errorf("%d attempts, job %v", len(w.runs), r.jobs["a"])
 	}
 }
+
+// Guards against a lasting task that waits because another of its step, which has not waited as long, was refused.
+func TestLastingTasksOfAStepWaitOnTheirOwn(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.addWorker("w", 1000)
+	r.urgent.observe(0, 800, r.clock)
+	r.short.observe(0, 800, r.clock)
+	step := oneStep(2, 900)
+	step.LongRunning = true
+	j := r.submit("a", step)
+	r.clock += lastingPatience + time.Millisecond
+	j.occurrences[0].steps[0][0].readyAt = r.clock
+	r.pass()
+	if j.live != 1 {
+		t.Error("a lasting task that has waited long enough was not tried")
+	}
+}
