--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bronzehook/fault"
+)
+
+const goodFile = `# a comment
+BRONZEHOOK_ID=n1
+BRONZEHOOK_REGION=r
+BRONZEHOOK_DATA_CENTRE=d
+BRONZEHOOK_CALLER_ADDR=127.0.0.1:8080
+BRONZEHOOK_READY_ADDR=127.0.0.1:8081
+BRONZEHOOK_STORE_ADDR=127.0.0.1:8082
+BRONZEHOOK_NOT_KNOWN=1
+`
+
+// parse reads settings from a file alone: variables of the environment go before it.
+func parse(t *testing.T, file string) (*Settings, error) {
+	t.Helper()
+	for _, line := range os.Environ() {
+		if name, _, _ := strings.Cut(line, "="); strings.HasPrefix(name, "BRONZEHOOK_") {
+			t.Setenv(name, "")
+			os.Unsetenv(name)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "settings")
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv(SettingsFileVariable, path)
+	return ParseSettings(nil)
+}
+
+// Guards against a start with settings that are wrong, and against a refusal of settings that are not known.
+func TestSettingsFile(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(string) string
+		ok     bool
+	}{
+		"whole":                       {func(f string) string { return f }, true},
+		"no name of the instance":     {func(f string) string { return strings.Replace(f, "=n1", "=", 1) }, false},
+		"address without a port":      {func(f string) string { return strings.Replace(f, ":8082", "", 1) }, false},
+		"line without a value":        {func(f string) string { return f + "BRONZEHOOK_LEASE_MS\n" }, false},
+		"lease shorter than any":      {func(f string) string { return f + "BRONZEHOOK_LEASE_MS=10\n" }, false},
+		"text instead of a number":    {func(f string) string { return f + "BRONZEHOOK_LEASE_MS=long\n" }, false},
+		"no share of a core":          {func(f string) string { return f + "BRONZEHOOK_CPU_SHARE=0\n" }, false},
+		"level of the log not known":  {func(f string) string { return f + "BRONZEHOOK_LOG_LEVEL=loud\n" }, false},
+		"share of a core as fraction": {func(f string) string { return f + "BRONZEHOOK_CPU_SHARE=0.16\n" }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := parse(t, c.change(goodFile))
+			if (err == nil) != c.ok {
+				t.Fatalf("error %v", err)
+			}
+			if err != nil && fault.CodeOf(err) != fault.CodeInvalid {
+				t.Errorf("code %s", fault.CodeOf(err))
+			}
+			if err == nil && s.ID != "n1" {
+				t.Errorf("settings %+v", s)
+			}
+		})
+	}
+}
+
+// Guards against a file that overrides what the environment says.
+func TestEnvironmentGoesBeforeTheFile(t *testing.T) {
+	if _, err := parse(t, goodFile); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("BRONZEHOOK_ID", "from the environment")
+	s, err := ParseSettings(nil)
+	if err != nil || s.ID != "from the environment" {
+		t.Errorf("settings %+v, %v", s, err)
+	}
+}
