Remember a job's queue, trim old states, count callers' requests

Cause: a job whose queue was dropped was never placed by a later term, which knew nothing of the queue; states of ended jobs were kept for ever; requests of callers were not counted. Ruled out: keeping dropped queues in the manifest, which would have to be stored as well. Change: a job holds the terms of its queue; the holder removes states after the retention and a minute; counters and a histogram of requests. Before/after: the test of the dropped queue fails without the change; the other two are new.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,13 +87,14 @@
 		options: execution.Options{
 			Table: table, Workers: platform.NewWorkers(), Manifest: current, WorkersTable: platform.WorkersTable,
 			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: time.Now, Logger: logger,
-			LeaseLength: s.LeaseLength(), Metrics: execution.NewMetrics(registry),
+			LeaseLength: s.LeaseLength(),
+			Retention:   time.Duration(s.Retention) * time.Second, Metrics: execution.NewMetrics(registry),
 		},
 	}
 	if s.AdviceAddr != "" {
 		n.duty.options.Advisor = platform.NewAdvisor(s.AdviceAddr)
 	}
-	callers := intake.New(table, table.Health(), current, logger)
+	callers := intake.New(table, table.Health(), current, intake.NewMetrics(registry), logger)
 	n.callers = &callerServer{addr: s.CallerAddr, handler: n.markLast(platform.NewCallerHandler(callers))}
 	ready := func() bool {
 		return !n.leaving.Load() && current.Current() != nil && !table.Health().Down(readyOutage)
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -35,6 +35,9 @@
 		return
 	}
 	txn, batch := t.buildCommit()
+	if len(batch) == 0 {
+		t.addTrim(&txn)
+	}
 	t.committing = true
 	go func() {
 		started := time.Now()
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -49,9 +49,13 @@
 	t.order = kept
 }
 
-// refreshQueue keeps a job's copy of its queue up to date. A dropped queue stays as it was.
+// refreshQueue keeps a job's copy of its queue up to date. A dropped queue stays as it was, and a job that is read after
+// that remembers it.
 func (t *Term) refreshQueue(j *job, m *manifest.Manifest) {
 	q := m.Queue(j.spec.Queue)
+	if q == nil && !j.known && j.spec.Terms.Service != "" {
+		q = manifest.FromTerms(j.spec.Queue, j.spec.Terms)
+	}
 	if q == nil || (j.known && j.queue == *q) {
 		return
 	}
--- a/execution/term.go
+++ b/execution/term.go
@@ -32,7 +32,9 @@
 	Logger zerolog.Logger
 	// LeaseLength is how long a worker runs attempts on without hearing from the holder.
 	LeaseLength time.Duration
-	Metrics     *Metrics
+	// Retention is how long the state of an ended job can be read at the least.
+	Retention time.Duration
+	Metrics   *Metrics
 }
 
 // Timing of a term.
@@ -84,6 +86,9 @@
 	// asking is set while a question to the advice service is under way.
 	asking bool
 
+	// forgotten holds the states that are to be removed.
+	forgotten []store.Key
+
 	dirty      []*job
 	committing bool
 	nextCommit time.Duration
@@ -124,6 +129,7 @@
 	}
 	go t.watchIntake(start.intake)
 	go t.watchWorkers(start.workers)
+	go t.trim()
 	t.log.Info().Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
 		Dur("took", t.opts.Clock()-t.began).Msg("duty taken")
 	ticker := time.NewTicker(tickEvery)
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -480,3 +480,55 @@
 		t.Error("a lasting task that has waited long enough was not tried")
 	}
 }
+
+// Guards against a job that never runs because its queue was dropped before a new term read it.
+func TestJobOfADroppedQueueStillRuns(t *testing.T) {
+	table := memory.New()
+	r := newRig(t, table)
+	spec := &jobs.Spec{
+		ID: "a", Queue: "dropped", Steps: []jobs.Step{oneStep(1, 100)}, Submitted: r.today.UnixMilli(),
+		Terms: jobs.Terms{Service: "s", MaxAttempts: 2, Stretch: 2},
+	}
+	state := jobs.PublicState{State: jobs.StateQueued, Queue: "dropped"}
+	version, err := table.Commit(r.ctx, store.Txn{Puts: []store.Put{{Key: store.StateKey("a"), Value: jobs.Encode(&state)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addWorker("w", 1000)
+	r.applyIntake(store.Row{Key: store.JobKey("a"), Value: jobs.Encode(spec), Version: version})
+	r.pass()
+	if n := r.client.startCount(); n != 1 {
+		t.Errorf("%d starts", n)
+	}
+}
+
+// Guards against states that are kept for ever, and against states that are removed while callers may ask for them.
+func TestOldStatesAreTrimmed(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.opts.Retention = 2 * time.Minute
+	for name, c := range map[string]struct {
+		state jobs.State
+		age   time.Duration
+		old   bool
+	}{
+		"ended long ago":   {jobs.StateSucceeded, time.Hour, true},
+		"ended lately":     {jobs.StateSucceeded, 2 * time.Minute, false},
+		"running for long": {jobs.StateRunning, time.Hour, false},
+	} {
+		state := jobs.PublicState{State: c.state, Changed: r.today.Add(-c.age).UnixMilli()}
+		row := store.Row{Key: store.StateKey("a"), Value: jobs.Encode(&state), Version: 1}
+		if got := len(r.oldStates([]store.Row{row})) == 1; got != c.old {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	r.forgotten = []store.Key{store.StateKey("a")}
+	state := jobs.PublicState{State: jobs.StateSucceeded}
+	if _, err := r.table.Commit(r.ctx, store.Txn{Puts: []store.Put{{Key: store.StateKey("a"), Value: jobs.Encode(&state)}}}); err != nil {
+		t.Fatal(err)
+	}
+	r.renewAt = 0
+	r.pass()
+	if r.table.Value(store.StateKey("a")) != nil {
+		t.Error("the state is still there")
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -44,6 +44,7 @@
 	table    store.Table
 	health   Health
 	manifest *manifest.Holder
+	metrics  *Metrics
 	logger   zerolog.Logger
 
 	mu       sync.Mutex
@@ -58,9 +59,11 @@
 }
 
 // New returns a service.
-func New(table store.Table, health Health, holder *manifest.Holder, logger zerolog.Logger) *Service {
+func New(
+	table store.Table, health Health, holder *manifest.Holder, metrics *Metrics, logger zerolog.Logger,
+) *Service {
 	return &Service{
-		table: table, health: health, manifest: holder, logger: logger,
+		table: table, health: health, manifest: holder, metrics: metrics, logger: logger,
 		counts: make(map[string]*count), terminal: make(map[jobs.ID]jobs.PublicState),
 	}
 }
@@ -91,6 +94,7 @@
 	started := time.Now()
 	spec.Submitted = started.UnixMilli()
 	known, err := s.submit(ctx, spec)
+	s.metrics.note("submit", started, err)
 	event := s.logger.Info()
 	if err != nil {
 		event = s.logger.Warn().Str(logging.KeyReason, string(fault.CodeOf(err))).AnErr("error", err)
@@ -187,7 +191,9 @@
 	if state, ok := s.remembered(id); ok {
 		return state.State, nil
 	}
+	started := time.Now()
 	row, err := s.read(ctx, id)
+	s.metrics.note("state", started, err)
 	if err != nil {
 		s.logger.Warn().Str(logging.KeyRequest, string(id)).Str("queue", queue).
 			Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("state not told")
@@ -249,7 +255,9 @@
 
 // Cancel records that a job is cancelled. A job that has ended stays as it is.
 func (s *Service) Cancel(ctx context.Context, queue string, id jobs.ID) error {
+	started := time.Now()
 	state, err := s.cancel(ctx, id)
+	s.metrics.note("cancel", started, err)
 	event := s.logger.Info()
 	if err != nil {
 		event = s.logger.Warn().Str(logging.KeyReason, string(fault.CodeOf(err)))
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"bronzehook/fault"
@@ -22,7 +23,7 @@
 func (h *health) Down(time.Duration) bool { return h.down }
 
 func newService(table store.Table, h *health) *intake.Service {
-	return intake.New(table, h, &manifest.Holder{}, zerolog.Nop())
+	return intake.New(table, h, &manifest.Holder{}, intake.NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
 }
 
 func spec(id string) *jobs.Spec {
--- /dev/null
+++ b/intake/metrics.go
@@ -0,0 +1,42 @@
+package intake
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bronzehook/fault"
+)
+
+// Metrics counts what callers ask for.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "bronzehook", Name: "requests_total", Help: "Callers' requests, by call and outcome.",
+		}, []string{"call", "outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "bronzehook", Name: "request_seconds", Help: "Duration of callers' requests, by call.",
+			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 3},
+		}, []string{"call"}),
+	}
+	registry.MustRegister(m.requests, m.seconds)
+	return m
+}
+
+// outcomeGood is the outcome of a request that was answered as asked.
+const outcomeGood = "good"
+
+func (m *Metrics) note(call string, started time.Time, err error) {
+	outcome := outcomeGood
+	if err != nil {
+		outcome = string(fault.CodeOf(err))
+	}
+	m.requests.WithLabelValues(call, outcome).Inc()
+	m.seconds.WithLabelValues(call).Observe(time.Since(started).Seconds())
+}
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"bronzehook/jobs"
 )
 
 // Queue takes jobs under a host and a path prefix.
@@ -25,6 +27,21 @@
 	Advice *Advice
 }
 
+// Terms returns what a job of the queue needs to know of it.
+func (q *Queue) Terms() jobs.Terms {
+	return jobs.Terms{
+		Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, LatencyTarget: q.LatencyTarget,
+	}
+}
+
+// FromTerms returns a queue that no manifest names any more, as a job remembers it.
+func FromTerms(name string, terms jobs.Terms) *Queue {
+	return &Queue{
+		Name: name, Service: terms.Service, Priority: terms.Priority, MaxAttempts: terms.MaxAttempts,
+		Stretch: terms.Stretch, LatencyTarget: terms.LatencyTarget,
+	}
+}
+
 // Advice states how the advice service of a queue behaves.
 type Advice struct {
 	Valid time.Duration
