Guard the test clock against goroutines that read it

Cause: the race detector found the test of held fillers moving its clock while an order read it. Ruled out: a race in the product (its clock is the kernel's). Before/after: go test -race ./execution failed, now passes.

--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -62,8 +62,10 @@
 	t      *testing.T
 	table  *memory.Table
 	client *fakeWorkers
-	clock  time.Duration
-	today  time.Time
+	// mu guards writes of clock by the test against reads by goroutines that carry orders.
+	mu    sync.Mutex
+	clock time.Duration
+	today time.Time
 }
 
 const (
@@ -81,7 +83,11 @@
 	holder.Offer((&manifest.Manifest{Version: 1, Queues: []manifest.Queue{
 		{Name: testQueue, Service: "s", MaxAttempts: 2, Stretch: 2, LatencyTarget: time.Second},
 	}}).Index())
-	clock := func() time.Duration { return r.clock }
+	clock := func() time.Duration {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.clock
+	}
 	candidate := duty.NewCandidate(table, clock, "n", time.Now().UnixNano())
 	seen, err := candidate.Observe(context.Background())
 	if err != nil {
@@ -103,6 +109,12 @@
 	return r
 }
 
+func (r *rig) advance(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock += d
+}
+
 // addWorker adds a worker that has seen the epoch.
 func (r *rig) addWorker(id string, cpu int) *worker {
 	w := r.workerOf(workers.ID(id))
@@ -218,9 +230,9 @@
 		if len(w.runs) != 1 {
 			t.Fatalf("given up %v after the lease was granted", r.clock-granted)
 		}
-		r.clock += 500 * time.Millisecond
+		r.advance(500 * time.Millisecond)
 	}
-	r.clock += time.Second
+	r.advance(time.Second)
 	r.expire(r.clock)
 	if len(w.runs) != 0 {
 		t.Error("still waited for after every lease has run out")
@@ -330,7 +342,7 @@
 	if j.live != 0 {
 		t.Fatal("headroom was not kept")
 	}
-	r.clock += lastingPatience + time.Millisecond
+	r.advance(lastingPatience + time.Millisecond)
 	r.pass()
 	if j.live != 1 {
 		t.Error("a lasting task waits beside room")
@@ -363,7 +375,7 @@
 		r.looked(w, workers.Look{Target: r.target(w)}, r.clock, inventory, nil)
 		r.relieve(w, r.clock)
 		r.handleEvents()
-		r.clock += settleTime
+		r.advance(settleTime)
 	}
 	held := 0
 	r.client.mu.Lock()
@@ -473,7 +485,7 @@
 	step := oneStep(2, 900)
 	step.LongRunning = true
 	j := r.submit("a", step)
-	r.clock += lastingPatience + time.Millisecond
+	r.advance(lastingPatience + time.Millisecond)
 	j.occurrences[0].steps[0][0].readyAt = r.clock
 	r.pass()
 	if j.live != 1 {
