--- a/entry/config.go
+++ b/entry/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,8 +24,7 @@
 	table  store.Table
 	holder *manifest.Holder
 	logger zerolog.Logger
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	loop   background
 }
 
 // Name implements kernel.Service.
@@ -37,20 +35,13 @@
 
 // Start implements kernel.Service.
 func (s *manifestService) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.run(ctx)
-	}()
+	s.loop.start(s.run)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *manifestService) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
+	s.loop.stop()
 	return nil
 }
 
--- a/entry/dutyservice.go
+++ b/entry/dutyservice.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -38,9 +37,7 @@
 	options   execution.Options
 	logger    zerolog.Logger
 
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
-	holding atomic.Bool
+	loop background
 	// deregister makes a second Stop harmless.
 	deregister sync.Once
 }
@@ -53,20 +50,13 @@
 
 // Start implements kernel.Service.
 func (s *dutyService) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.run(ctx)
-	}()
+	s.loop.start(s.run)
 	return nil
 }
 
 // Stop implements kernel.Service. The duty is released, so that another instance takes it over at once.
 func (s *dutyService) Stop(context.Context) error {
-	s.cancel()
-	s.done.Wait()
+	s.loop.stop()
 	s.deregister.Do(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
@@ -138,9 +128,7 @@
 	}
 	s.logger.Info().Uint64(logging.KeyEpoch, holder.Epoch()).Str("from", seen.Row.Holder).
 		Bool("released", seen.Row.Released).Dur("unchanged", seen.Unchanged).Msg("duty claimed")
-	s.holding.Store(true)
 	err = s.serve(ctx, holder)
-	s.holding.Store(false)
 	s.logger.Warn().Uint64(logging.KeyEpoch, holder.Epoch()).AnErr("error", err).Msg("duty ended")
 }
 
