Compute the chain of work and withdraw attempts in one place each

Cause: the read-through found the longest chain of steps computed twice (placement.Chain with an argument that was always 0, and again in the rank of a job), an attempt that was never ordered given up by the same lines twice, and a wrapper that only dropped a result. Change: Chain takes which steps count; withdraw serves both callers; the wrapper is gone. Behaviour is unchanged.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -40,10 +40,7 @@
 		return
 	}
 	if r.phase == phaseRecording {
-		// Nothing was ordered. The record of the attempt is void once the next change is stored.
-		r.task.ended = max(r.task.ended, r.attempt)
-		t.detach(r)
-		t.touch(r.task.job)
+		t.withdraw(r)
 		return
 	}
 	r.stopping = true
@@ -54,6 +51,13 @@
 		Msg("attempt to be stopped")
 }
 
+// withdraw gives up an attempt that was never ordered. Its record is void once the next change is stored.
+func (t *Term) withdraw(r *run) {
+	r.task.ended = max(r.task.ended, r.attempt)
+	t.detach(r)
+	t.touch(r.task.job)
+}
+
 // stopAll asks for the end of all attempts of a job.
 func (t *Term) stopAll(j *job, cause string) {
 	for _, o := range j.occurrences {
--- a/execution/orders.go
+++ b/execution/orders.go
@@ -25,9 +25,7 @@
 	now := t.opts.Clock()
 	w := r.worker
 	if r.task.job.terminal() || r.task.done {
-		r.task.ended = max(r.task.ended, r.attempt)
-		t.detach(r)
-		t.touch(r.task.job)
+		t.withdraw(r)
 		return
 	}
 	r.phase = phaseOrdered
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -93,19 +93,12 @@
 		if o == nil {
 			continue
 		}
-		lengths := make([]time.Duration, len(o.steps))
-		for s := range o.steps {
+		chain = max(chain, placement.Chain(j.spec, func(step int) bool { return o.left[step] > 0 }))
+		for s, count := range o.left {
 			step := &j.spec.Steps[s]
-			for _, earlier := range step.After {
-				lengths[s] = max(lengths[s], lengths[earlier])
-			}
-			left += o.left[s]
+			left += count
 			total += step.Count
-			if o.left[s] > 0 {
-				lengths[s] += step.Estimate
-				r.work += float64(o.left[s]*step.Resources.CPU) * step.Estimate.Seconds() / 1000
-			}
-			chain = max(chain, lengths[s])
+			r.work += float64(count*step.Resources.CPU) * step.Estimate.Seconds() / 1000
 		}
 	}
 	end := today.Add(chain)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -192,7 +192,7 @@
 		return state.State, nil
 	}
 	started := time.Now()
-	row, err := s.read(ctx, id)
+	row, _, err := s.readVersion(ctx, id)
 	s.metrics.note("state", started, err)
 	if err != nil {
 		s.logger.Warn().Str(logging.KeyRequest, string(id)).Str("queue", queue).
@@ -218,11 +218,6 @@
 	s.terminal[id] = state
 }
 
-func (s *Service) read(ctx context.Context, id jobs.ID) (jobs.PublicState, error) {
-	state, _, err := s.readVersion(ctx, id)
-	return state, err
-}
-
 func (s *Service) readVersion(ctx context.Context, id jobs.ID) (jobs.PublicState, uint64, error) {
 	if s.health.Down(outageAge) {
 		return jobs.PublicState{}, 0, errors.WithStack(&OutageError{})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -270,20 +270,22 @@
 
 // Objective returns how long a job may take to earn its full worth: stretch times its longest chain, plus a constant.
 func Objective(spec *jobs.Spec, stretch float64, target time.Duration) time.Duration {
-	return time.Duration(stretch*float64(Chain(spec, 0))) + target
+	all := func(int) bool { return true }
+	return time.Duration(stretch*float64(Chain(spec, all))) + target
 }
 
-// Chain returns the estimated duration of the longest chain of steps from the first of which is from.
-func Chain(spec *jobs.Spec, from int) time.Duration {
+// Chain returns the estimated duration of the longest chain of the steps for which counts is true.
+func Chain(spec *jobs.Spec, counts func(step int) bool) time.Duration {
 	lengths := make([]time.Duration, len(spec.Steps))
 	var longest time.Duration
-	for i := from; i < len(spec.Steps); i++ {
+	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		var before time.Duration
 		for _, earlier := range step.After {
-			before = max(before, lengths[earlier])
+			lengths[i] = max(lengths[i], lengths[earlier])
+		}
+		if counts(i) {
+			lengths[i] += step.Estimate
 		}
-		lengths[i] = before + step.Estimate
 		longest = max(longest, lengths[i])
 	}
 	return longest
