Let the test of an uncertain record reach its write

The test gave the record 1 ms; on a busy machine the limit passed before the write was sent, so that "nothing was recorded" was the right answer. It also changed options of a running service. Ruled out: a fault of Record: the log of the table was empty in the failed run's order of events. Change: the table that goes down after the first commit is given to the service from its start, the record has the time of the other tests, and the test checks that exactly one write took effect.

--- a/config/rollout/rollout_test.go
+++ b/config/rollout/rollout_test.go
@@ -221,12 +221,12 @@
 // Guards against claiming that nothing was recorded when the write was sent and its reply never came.
 func TestUncertainRecordSaysSo(t *testing.T) {
 	table := tabletest.New()
-	s := start(t, newService("a", table, nil))
+	s := start(t, newService("a", &downAfterCommit{Table: table}, nil))
 	table.SetFaults(tabletest.Faults{LostReplies: 1})
-	s.options.RecordTimeout = time.Millisecond
-	blocking := &downAfterCommit{Table: table}
-	s.table.table = blocking
 	_, err := s.Record(t.Context(), change("ann", edit("x.yaml", "x", 0)))
+	if len(table.Log()) != 1 {
+		t.Errorf("%d writes took effect, want 1: the test did not get as far as the lost reply", len(table.Log()))
+	}
 	var unavailable *UnavailableError
 	if !errors.As(err, &unavailable) || !unavailable.Uncertain {
 		t.Errorf("record: %v, want an uncertain UnavailableError", err)
