Tell in the log why a lasting task waits, and how far attempts have got

Ruled out: attempts that the accounts hold and no worker runs: the line on the fleet counts them by phase, nearly all run. Change: a line for a lasting task that has waited 3 s, with the refusals by reason and the largest room; attempts by phase. Found: the store, 77 times slower, serves all rows in one part and turns commits away, the duty lapses for 4.4 s, the leases of lasting tasks run out at 18 s, and short tasks take the room as it comes free. Conclusion: two faults to mend, the part of the holder's rows and room for lasting tasks that wait.

--- a/execution/model.go
+++ b/execution/model.go
@@ -72,6 +72,8 @@
 	avoid      workers.ID
 	// readyAt is when the task could first be placed; it is kept for the log.
 	readyAt time.Duration
+	// explainedAt is when the log last told why the task waits.
+	explainedAt time.Duration
 }
 
 // occurrence is one run through the steps of a job.
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -169,6 +169,7 @@
 		}
 		if !t.place(j, task, tasks, allowed) {
 			refused = t.headroom(task, now)
+			t.explainWait(j, task, tasks, now)
 		}
 		if refused == 0 {
 			return
@@ -194,6 +195,32 @@
 	return true
 }
 
+// Lasting tasks that wait for longer than explainAfter are explained in the log, each once in explainEvery.
+const (
+	explainAfter = 3 * time.Second
+	explainEvery = 3 * time.Second
+)
+
+// explainWait tells why a lasting task waits: how many workers refuse it for which reason, and the largest room.
+func (t *Term) explainWait(j *job, one *task, siblings []*task, now time.Duration) {
+	if !one.step.LongRunning || now-one.readyAt < explainAfter || now-one.explainedAt < explainEvery {
+		return
+	}
+	one.explainedAt = now
+	t.stockAt = now
+	var room jobs.Resources
+	for _, node := range t.nodes.all {
+		free := node.Free()
+		if node.Usable && free.CPU > room.CPU {
+			room = free
+		}
+	}
+	t.log.Warn().Stringer(logging.KeyTask, one.id).Str("queue", j.spec.Queue).Dur("waited", now-one.readyAt).
+		Int("cpu", one.step.Resources.CPU).Int("memory_mb", one.step.Resources.MemoryMB).
+		Int("largest_free_cpu", room.CPU).Int("memory_mb_there", room.MemoryMB).
+		Interface("refusals", placement.Explain(t.nodes.all, t.request(j, one, siblings))).Msg("lasting task waits")
+}
+
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
 		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one, t.scheduledAt), Offset: t.nextOffset(),
--- a/execution/stock.go
+++ b/execution/stock.go
@@ -35,6 +35,12 @@
 			leftover += n.Leftover()
 		}
 	}
+	phases := make(map[string]int)
+	for _, w := range t.workers {
+		for _, r := range w.runs {
+			phases[r.describe()]++
+		}
+	}
 	waiting := 0
 	for _, j := range t.jobs {
 		if !j.begun {
@@ -45,6 +51,21 @@
 		Int("serving_workers", servingNodes).Int("filler_workers", fillerNodes).Int("free_cpu", free).
 		Int("leftover_cpu", leftover).Int("serving", serving).Int("fillers", fillers).Int("other", other).
 		Int("headroom", t.spread(t.urgent.missing())).Int("short_headroom", t.spread(t.short.missing())).
-		Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
+		Interface("attempts", phases).Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
 	clear(t.refusals)
 }
+
+// describe names how far an attempt has got.
+func (r *run) describe() string {
+	switch {
+	case r.stopping:
+		return "stopping"
+	case r.phase == phaseRecording:
+		return "recording"
+	case r.phase == phaseOrdered:
+		return "ordered"
+	case r.phase == phaseInherited:
+		return "inherited"
+	}
+	return "running"
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -167,6 +167,15 @@
 	return nil, reason
 }
 
+// Explain counts the workers by the reason for which each of them cannot take a task; ReasonNone counts those that can.
+func Explain(nodes []*Node, request Request) map[Reason]int {
+	counts := make(map[Reason]int)
+	for _, node := range nodes {
+		counts[check(node, &request)]++
+	}
+	return counts
+}
+
 // choosy reports whether a task is better off where few workers are.
 func (r *Request) choosy() bool {
 	return r.Step.Serves() || r.Step.Affinity != "" || r.Step.RackSensitive
