Spread jobs over parts of the store, hold room for lasting tasks that wait

Cause: all rows lay in one part of the store, which carries out transactions one after the other. With a store 77 times slower callers filled it, the holder's commits were turned away, the duty lapsed for 4.4 s, and leases of lasting tasks ran out. After that short tasks took the room as it came free, for 26 s. Change: rows of jobs lie in 12 groups, one part each; records of progress lie with the duty's row. Public states are stored by a lane for each group, conditional on the state that they replace; records by a lane that renews the duty. An excerpt older than the term is read again.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -143,13 +143,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Holder{table: c.table, clock: c.clock, row: row, version: version, renewed: asked}, nil
+	return &Holder{table: c.table, clock: c.clock, row: row, version: version, taken: version, renewed: asked}, nil
 }
 
 // Holder commits on behalf of the duty. Commit is called from one goroutine at a time; the other methods from any.
 type Holder struct {
 	table store.Table
 	clock Clock
+	// taken is the version of the transaction that took the duty.
+	taken uint64
 
 	mu      sync.Mutex
 	row     Row
@@ -163,6 +165,9 @@
 // Epoch is the fencing token of this term of office.
 func (h *Holder) Epoch() uint64 { return h.row.Epoch }
 
+// Taken is the version at which the duty was taken. What an earlier holder did has a lower one.
+func (h *Holder) Taken() uint64 { return h.taken }
+
 // Age is the time since the last successful renewal was sent.
 func (h *Holder) Age() time.Duration {
 	h.mu.Lock()
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -11,6 +11,31 @@
 	"bronzehook/store"
 )
 
+// What a term stores goes by lanes, so that a store whose parts are unequally loaded holds up only what it has to. Records
+// of progress lie with the duty's row: they are what an order waits for, and each commit renews the duty. Public states
+// lie with what callers write, and each group of jobs has a lane of its own. A commit of states is not conditional on the
+// duty and may be carried out late: it states what workers have listed, conditional on the state that it replaces.
+
+// lane holds the jobs with something to store; one commit of a lane is under way at a time.
+type lane struct {
+	dirty      []*job
+	committing bool
+	next       time.Duration
+	// forgotten holds rows to be removed when there is nothing else to store.
+	forgotten []store.Key
+}
+
+// ready reports whether the lane may commit now.
+func (l *lane) ready(now time.Duration) bool { return !l.committing && now >= l.next }
+
+// wait returns the time until the lane may commit; 0 if it has nothing to do.
+func (l *lane) wait(now time.Duration) time.Duration {
+	if len(l.dirty) == 0 || l.committing {
+		return 0
+	}
+	return max(l.next-now, time.Millisecond)
+}
+
 // change is what one commit stores of a job.
 type change struct {
 	job      *job
@@ -26,48 +51,122 @@
 // entriesPerJob bounds the entries that one job adds to a transaction.
 const entriesPerJob = 7
 
-// commit stores the changed jobs, or renews the duty if nothing has changed for a while. One commit runs at a time.
+// commit stores what has changed, and renews the duty if no record has changed for a while.
 func (t *Term) commit(now time.Duration) {
-	if t.committing || now < t.nextCommit {
+	if t.records.ready(now) {
+		t.commitRecords(now)
+	}
+	for group := range t.states {
+		if t.states[group].ready(now) {
+			t.commitStates(&t.states[group])
+		}
+	}
+}
+
+func (t *Term) commitRecords(now time.Duration) {
+	if len(t.records.dirty) == 0 && now < t.renewAt {
 		return
 	}
-	if len(t.dirty) == 0 && now < t.renewAt {
+	txn, batch := t.buildRecords()
+	if len(batch) == 0 && now < t.renewAt {
+		return
+	}
+	removed := t.addObsolete(&txn)
+	t.records.committing = true
+	go func() {
+		started := time.Now()
+		_, err := t.holder.Commit(t.ctx, txn)
+		t.opts.Metrics.committed(time.Since(started), err)
+		t.post(func() { t.recordsCommitted(batch, removed, err) })
+	}()
+}
+
+func (t *Term) commitStates(l *lane) {
+	if len(l.dirty) == 0 && len(l.forgotten) == 0 {
 		return
 	}
-	txn, batch := t.buildCommit()
+	txn, batch := t.buildStates(l)
 	if len(batch) == 0 {
-		t.addTrim(&txn)
+		l.addForgotten(&txn)
 	}
-	t.committing = true
+	if txn.Len() == 0 {
+		return
+	}
+	l.committing = true
 	go func() {
 		started := time.Now()
-		version, err := t.holder.Commit(t.ctx, txn)
+		version, err := t.opts.Table.Commit(t.ctx, txn)
 		t.opts.Metrics.committed(time.Since(started), err)
-		t.post(func() { t.committedBatch(batch, version, err) })
+		t.post(func() { t.statesCommitted(l, batch, version, err) })
 	}()
 }
 
-func (t *Term) buildCommit() (store.Txn, []change) {
+// markRecord and markState queue a job for a lane.
+func (t *Term) markRecord(j *job) {
+	if !j.inRecords {
+		j.inRecords = true
+		t.records.dirty = append(t.records.dirty, j)
+	}
+}
+
+func (t *Term) markState(j *job) {
+	if !j.inStates {
+		j.inStates = true
+		l := &t.states[store.GroupOf(string(j.spec.ID))]
+		l.dirty = append(l.dirty, j)
+	}
+}
+
+// over reports whether a job has ended and nothing of it may run: its rows can be removed.
+func (j *job) over() bool { return j.terminal() && j.live == 0 }
+
+// stateDue reports whether the rows of a job that callers see have to be written or compared.
+func (j *job) stateDue() bool {
+	return j.state != j.stored || !j.verified || (j.pending && (j.begun || j.terminal())) || j.over()
+}
+
+// buildRecords takes jobs whose progress has changed. A job whose public state was not compared yet waits for that: it may
+// have ended before this term read it.
+func (t *Term) buildRecords() (store.Txn, []change) {
 	var txn store.Txn
 	var batch []change
 	size := 0
-	for len(t.dirty) > 0 && txn.Len()+entriesPerJob < store.MaxEntries-2 && size < store.MaxBytes/2 {
-		j := t.dirty[0]
-		t.dirty = t.dirty[1:]
-		j.dirty = false
-		if j.ended {
+	for len(t.records.dirty) > 0 && txn.Len() < store.MaxEntries-entriesPerJob && size < store.MaxBytes/2 {
+		j := t.records.dirty[0]
+		t.records.dirty = t.records.dirty[1:]
+		j.inRecords = false
+		if j.ended || j.over() || !j.verified || j.sequence == j.committed {
 			continue
 		}
-		c := t.buildChange(&txn, j)
-		if n := len(txn.Puts); n > 0 {
-			size += len(txn.Puts[n-1].Value)
+		record := t.record(j)
+		if len(record.Tasks) > 0 {
+			put := store.Put{Key: store.ProgressKey(string(j.spec.ID)), Value: jobs.Encode(record)}
+			txn.Puts = append(txn.Puts, put)
+			size += len(put.Value)
+			j.recorded = true
+		}
+		batch = append(batch, change{job: j, sequence: j.sequence})
+	}
+	return txn, batch
+}
+
+// buildStates takes jobs whose rows that callers see are out of date.
+func (t *Term) buildStates(l *lane) (store.Txn, []change) {
+	var txn store.Txn
+	var batch []change
+	for len(l.dirty) > 0 && txn.Len() < store.MaxEntries-entriesPerJob {
+		j := l.dirty[0]
+		l.dirty = l.dirty[1:]
+		j.inStates = false
+		if j.ended || !j.stateDue() {
+			continue
 		}
-		batch = append(batch, c)
+		batch = append(batch, t.buildState(&txn, j))
 	}
 	return txn, batch
 }
 
-func (t *Term) buildChange(txn *store.Txn, j *job) change {
+func (t *Term) buildState(txn *store.Txn, j *job) change {
 	id := string(j.spec.ID)
 	c := change{job: j, sequence: j.sequence, state: j.state}
 	if j.state != j.stored || !j.verified {
@@ -83,25 +182,31 @@
 		txn.Deletes = append(txn.Deletes, store.PendingKey(j.spec.Queue, id))
 		c.endedPending = true
 	}
-	if j.terminal() && j.live == 0 {
+	if j.over() {
 		c.final = true
 		txn.Deletes = append(txn.Deletes, store.JobKey(id))
-		if j.recorded {
-			txn.Deletes = append(txn.Deletes, store.ProgressKey(id))
-		}
 		if j.cancelled {
 			txn.Deletes = append(txn.Deletes, store.CancelKey(id))
 		}
-		return c
-	}
-	record := t.record(j)
-	if len(record.Tasks) > 0 {
-		txn.Puts = append(txn.Puts, store.Put{Key: store.ProgressKey(id), Value: jobs.Encode(record)})
-		j.recorded = true
 	}
 	return c
 }
 
+// maxObsolete bounds the records of ended jobs that one commit removes.
+const maxObsolete = 40
+
+// addObsolete adds the removal of records of ended jobs to a transaction, as far as it has room.
+func (t *Term) addObsolete(txn *store.Txn) []store.Key {
+	n := min(len(t.obsolete), maxObsolete, store.MaxEntries-entriesPerJob-txn.Len())
+	if n <= 0 {
+		return nil
+	}
+	removed := t.obsolete[:n:n]
+	t.obsolete = t.obsolete[n:]
+	txn.Deletes = append(txn.Deletes, removed...)
+	return removed
+}
+
 // record is what a later term needs to know of a job.
 func (t *Term) record(j *job) *jobs.Record {
 	record := &jobs.Record{}
@@ -129,36 +234,66 @@
 	return record
 }
 
-// committedBatch takes up the result of a commit.
-func (t *Term) committedBatch(batch []change, version uint64, err error) {
+// recordsCommitted takes up the result of a commit of records.
+func (t *Term) recordsCommitted(batch []change, removed []store.Key, err error) {
 	now := t.opts.Clock()
-	t.committing = false
-	t.nextCommit = now + commitGap
+	t.records.committing = false
+	t.records.next = now + commitGap
 	if err != nil {
-		t.commitFailed(batch, err)
+		t.obsolete = append(t.obsolete, removed...)
+		t.commitFailed(&t.records, batch, err, t.markRecord)
 		return
 	}
 	t.renewAt = now + duty.RenewEvery
 	for _, c := range batch {
-		t.committedChange(c, version)
+		c.job.committed = c.sequence
+		t.orderRecorded(c.job)
+	}
+	t.releaseAcks()
+}
+
+// statesCommitted takes up the result of a commit of public states.
+func (t *Term) statesCommitted(l *lane, batch []change, version uint64, err error) {
+	l.committing = false
+	l.next = t.opts.Clock() + commitGap
+	if err != nil {
+		t.commitFailed(l, batch, err, t.markState)
+		return
+	}
+	for _, c := range batch {
+		t.stateCommitted(c, version)
 	}
 	t.releaseAcks()
 }
 
-func (t *Term) committedChange(c change, version uint64) {
+func (t *Term) stateCommitted(c change, version uint64) {
 	j := c.job
-	j.committed = c.sequence
-	j.verified = j.verified || c.conditional
 	if c.wroteState {
 		j.stored, j.stateVersion = c.state, version
 	}
 	if c.endedPending {
 		j.pending = false
 	}
+	if c.conditional && !j.verified {
+		j.verified = true
+		t.markRecord(j)
+	}
 	if c.final {
+		j.committed = c.sequence
 		j.ended = true
 		delete(t.jobs, j.spec.ID)
+		if j.recorded {
+			t.obsolete = append(t.obsolete, store.ProgressKey(string(j.spec.ID)))
+		}
+		return
 	}
+	if j.stateDue() {
+		t.markState(j)
+	}
+}
+
+// orderRecorded orders the attempts of a job whose record is stored.
+func (t *Term) orderRecorded(j *job) {
 	kept := j.waiting[:0]
 	for _, r := range j.waiting {
 		switch {
@@ -169,13 +304,10 @@
 		}
 	}
 	j.waiting = kept
-	if !c.final && j.terminal() && j.live == 0 {
-		t.touch(j)
-	}
 }
 
 // commitFailed queues the jobs again. A conflict that is not about the duty comes from a caller who cancelled.
-func (t *Term) commitFailed(batch []change, err error) {
+func (t *Term) commitFailed(l *lane, batch []change, err error, mark func(*job)) {
 	var lost *duty.LostError
 	if errors.As(err, &lost) {
 		t.fail(err)
@@ -186,12 +318,11 @@
 		t.resolveStates(batch, conflict)
 	} else {
 		t.log.Warn().AnErr("error", err).Int("jobs", len(batch)).Msg("commit failed")
-		t.nextCommit = t.opts.Clock() + 3*commitGap
+		l.next = t.opts.Clock() + 3*commitGap
 	}
 	for _, c := range batch {
-		if !c.job.dirty && !c.job.ended {
-			c.job.dirty = true
-			t.dirty = append(t.dirty, c.job)
+		if !c.job.ended {
+			mark(c.job)
 		}
 	}
 }
@@ -227,6 +358,8 @@
 	switch {
 	case state == jobs.StateCancelled:
 		t.cancel(j)
+	case state == jobs.StateRunning && j.state == jobs.StateQueued:
+		j.state = state
 	case state.Terminal():
 		t.log.Warn().Str(logging.KeyRequest, string(j.spec.ID)).Str("state", string(state)).Msg("job had ended before")
 		j.state = state
--- /dev/null
+++ b/execution/commit_test.go
@@ -0,0 +1,113 @@
+package execution
+
+import (
+	"slices"
+	"testing"
+
+	"bronzehook/jobs"
+	"bronzehook/store"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+// touchesStates reports whether a transaction touches rows that callers write too.
+func touchesStates(txn store.Txn) bool {
+	return slices.ContainsFunc(txn.Conditions, func(c store.Condition) bool { return store.Spread(c.Key.Table) }) ||
+		slices.ContainsFunc(txn.Puts, func(p store.Put) bool { return store.Spread(p.Key.Table) }) ||
+		slices.ContainsFunc(txn.Deletes, func(k store.Key) bool { return store.Spread(k.Table) })
+}
+
+// Guards against running work that stands still because callers fill their parts of a slow store: on a grown site the
+// duty lapsed, and lasting tasks with it.
+func TestWorkGoesOnWhileCallersFillTheStore(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	first := oneStep(1, 100)
+	second := oneStep(1, 100)
+	second.After = []int{0}
+	j := r.submit("a", first, second)
+	r.vouch(store.Row{Key: store.JobKey("a"), Version: j.stateVersion})
+	r.table.SetRefuse(touchesStates)
+	r.pass()
+	if n := r.client.startCount(); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	done := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone}
+	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{done}}, nil)
+	r.pass()
+	if n := r.client.startCount(); n != 2 {
+		t.Errorf("%d starts after the first step", n)
+	}
+	if w.seenUpTo != 1 {
+		t.Error("an end whose record is stored is not confirmed")
+	}
+	r.table.SetRefuse(nil)
+	r.pass()
+	state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey("a")))
+	if err != nil || state.State != jobs.StateRunning {
+		t.Errorf("state %v, %v", state, err)
+	}
+}
+
+// Guards against a late commit of public states that undoes a newer record of progress, against transactions over
+// several groups, which take longer, and against records that stay behind after their jobs have ended.
+func TestStatesAndRecordsAreStoredApart(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.table.SetRefuse(func(txn store.Txn) bool {
+		groups := make(map[int]bool)
+		for _, c := range txn.Conditions {
+			groups[c.Key.Group()] = true
+		}
+		for _, p := range txn.Puts {
+			groups[p.Key.Group()] = true
+		}
+		for _, k := range txn.Deletes {
+			groups[k.Group()] = true
+		}
+		if len(groups) > 1 {
+			t.Errorf("a transaction over the groups %v", groups)
+		}
+		return false
+	})
+	ids := []string{"a", "b", "c", "d"}
+	for _, id := range ids {
+		r.submit(id, oneStep(1, 100))
+	}
+	r.pass()
+	var ends []workers.End
+	for i, id := range ids {
+		ends = append(ends, workers.End{Number: int64(i + 1), Task: jobs.Task{Job: jobs.ID(id)}, Attempt: 1, Cause: workers.CauseDone})
+	}
+	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: ends}, nil)
+	r.pass()
+	for _, id := range ids {
+		state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey(id)))
+		if err != nil || state.State != jobs.StateSucceeded {
+			t.Errorf("%s: state %v, %v", id, state, err)
+		}
+		if r.table.Value(store.ProgressKey(id)) != nil || r.table.Value(store.JobKey(id)) != nil {
+			t.Errorf("%s: rows are left", id)
+		}
+	}
+	if w.seenUpTo != int64(len(ids)) {
+		t.Errorf("ends confirmed up to %d", w.seenUpTo)
+	}
+}
+
+// Guards against records that no term removes, because the one that ended their jobs died before it did.
+func TestRecordsWithoutAJobAreRemoved(t *testing.T) {
+	table := memory.New()
+	record := jobs.Record{Tasks: []jobs.TaskRecord{{Attempt: 1, Worker: "w"}}}
+	if _, err := table.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: store.ProgressKey("a"), Value: jobs.Encode(&record)}}}); err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(t, table)
+	if _, err := r.load(); err != nil {
+		t.Fatal(err)
+	}
+	r.pass()
+	if table.Value(store.ProgressKey("a")) != nil {
+		t.Error("the record is left")
+	}
+}
--- a/execution/feeds.go
+++ b/execution/feeds.go
@@ -13,10 +13,14 @@
 
 // watchIntake follows accepted jobs and cancellations.
 func (t *Term) watchIntake(after uint64) {
-	t.follow(store.TableIntake, after, intakeWait, intakeGap, func(rows []store.Row, _ bool) {
+	t.follow(store.TableIntake, after, intakeWait, intakeGap, func(rows []store.Row, whole bool) {
 		for _, row := range rows {
-			if !row.Deleted {
-				t.applyIntake(row)
+			if row.Deleted {
+				continue
+			}
+			t.applyIntake(row)
+			if !whole {
+				t.vouch(row)
 			}
 		}
 	})
@@ -104,6 +108,19 @@
 	}
 }
 
+// vouch notes that a job was read from the changes since this term began. Unlike one from an excerpt, which may be older
+// than the job's end, it is known to be alive.
+func (t *Term) vouch(row store.Row) {
+	name, cancel, ok := store.ParseIntake(row.Name)
+	if !ok || cancel {
+		return
+	}
+	if j := t.jobs[jobs.ID(name)]; j != nil && !j.verified && j.stateVersion == row.Version {
+		j.verified = true
+		t.markRecord(j)
+	}
+}
+
 // cancel ends a job whose public state says so already.
 func (t *Term) cancel(j *job) {
 	if j.cancelled || j.ended {
--- a/execution/load.go
+++ b/execution/load.go
@@ -54,9 +54,13 @@
 			}
 		}
 		rows, err := store.List(t.ctx, t.opts.Table, table, "", "")
-		if err == nil {
+		if err == nil && rows.Version >= t.holder.Taken() {
 			return rows, nil
 		}
+		if err == nil {
+			t.log.Warn().Str("table", table).Uint64("version", rows.Version).Uint64("taken", t.holder.Taken()).
+				Msg("excerpt older than the term, read again")
+		}
 		if t.ctx.Err() != nil {
 			return store.Changes{}, errors.WithStack(t.ctx.Err())
 		}
@@ -71,6 +75,8 @@
 func (t *Term) applyRecord(row store.Row) {
 	j := t.jobs[jobs.ID(row.Name)]
 	if j == nil {
+		// Its job has ended, and the term that ended it did not get as far as removing the record.
+		t.obsolete = append(t.obsolete, row.Key)
 		return
 	}
 	record, err := jobs.Decode[jobs.Record]("progress", row.Value)
--- a/execution/looks.go
+++ b/execution/looks.go
@@ -248,14 +248,15 @@
 			}
 		}
 		if !w.listed && len(w.runs) == 0 && now > w.deadBy+lookRetryMax {
-			t.forget(id, w)
+			t.dropWorker(id, w)
 		}
 	}
 }
 
-func (t *Term) forget(id workers.ID, w *worker) {
+func (t *Term) dropWorker(id workers.ID, w *worker) {
 	delete(t.workers, id)
 	delete(t.nodes.owner, &w.node)
+	w.node.Usable = false
 	for i, node := range t.nodes.all {
 		if node == &w.node {
 			t.nodes.all = append(t.nodes.all[:i], t.nodes.all[i+1:]...)
--- a/execution/model.go
+++ b/execution/model.go
@@ -108,10 +108,10 @@
 	// sequence counts changes; committed is the newest change that is stored.
 	sequence  uint64
 	committed uint64
-	// dirty is set while the job is in the list of jobs to commit.
-	dirty   bool
-	live    int
-	waiting []*run
+	// inRecords and inStates are set while the job waits in a lane.
+	inRecords, inStates bool
+	live                int
+	waiting             []*run
 
 	deadline time.Time
 	late     time.Time
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -22,12 +22,16 @@
 		return
 	}
 	t.compactOrder()
+	t.refreshHolds()
 	t.failures = placement.Failures{}
 	t.scheduledAt = now
 	today := t.opts.Now()
 	for _, j := range t.order {
 		t.refreshQueue(j, m)
 		j.rank = rankOf(j, today)
+		if waitingLasting(j, now) {
+			j.rank.worth = worthOverdue
+		}
 	}
 	sort.SliceStable(t.order, func(a, b int) bool { return moreUrgent(t.order[a], t.order[b]) })
 	for _, j := range t.order {
@@ -68,7 +72,8 @@
 
 // rank is what orders a job among those of its priority.
 type rank struct {
-	// worth is 0 while the job can still end in time, 1 while it can end late, 2 after that.
+	// worth is 0 while the job can still end in time, 1 while it can end late, 2 after that. It is worthOverdue for jobs
+	// that last and have waited for too long.
 	worth int
 	// work is what is left to do, in core-seconds by the caller's estimates.
 	work float64
@@ -77,6 +82,9 @@
 	score float64
 }
 
+// worthOverdue comes before all other values of rank.worth.
+const worthOverdue = -1
+
 // sizeWeight is the slack in seconds that weighs as much as twice the work.
 const sizeWeight = 1.5
 
@@ -161,17 +169,22 @@
 	refused := math.MaxInt
 	for _, task := range tasks {
 		// The tasks ask for the same. Those that last differ by how much headroom they have to leave after their wait.
-		if task.done || task.run != nil || t.headroom(task, now) >= refused {
+		if task.done || task.run != nil {
+			continue
+		}
+		if t.holds[task] == nil && t.headroom(task, now) >= refused {
+			t.holdRoom(j, task, tasks, allowed, now)
 			continue
 		}
 		if !asked {
 			allowed, asked = t.allowed(j, o, number, now), true
 		}
 		if !t.place(j, task, tasks, allowed) {
-			refused = t.headroom(task, now)
+			refused = min(refused, t.headroom(task, now))
+			t.holdRoom(j, task, tasks, allowed, now)
 			t.explainWait(j, task, tasks, now)
 		}
-		if refused == 0 {
+		if refused == 0 && !t.mayHold(task, now) {
 			return
 		}
 	}
@@ -224,7 +237,7 @@
 func (t *Term) request(j *job, one *task, siblings []*task) placement.Request {
 	request := placement.Request{
 		Step: one.step, Service: j.queue.Service, Avoid: one.avoid, Disturbance: t.disturbance, Headroom: t.headroom(one, t.scheduledAt), Offset: t.nextOffset(),
-		OnNode: func(id workers.ID) int { return countOn(siblings, id) },
+		OnNode: func(id workers.ID) int { return countOn(siblings, id) }, Holds: t.holds[one],
 	}
 	if one.step.RackSensitive {
 		request.RackInUse = rackOf(siblings)
@@ -262,6 +275,7 @@
 // assign makes an attempt, to be ordered as soon as its record is stored.
 func (t *Term) assign(j *job, one *task, w *worker, attempt int) *run {
 	one.attempt = attempt
+	t.releaseHold(one)
 	r := &run{task: one, attempt: attempt, worker: w, phase: phaseRecording, percent: -1}
 	t.attach(r)
 	t.touch(j)
--- a/execution/stock.go
+++ b/execution/stock.go
@@ -51,7 +51,7 @@
 		Int("serving_workers", servingNodes).Int("filler_workers", fillerNodes).Int("free_cpu", free).
 		Int("leftover_cpu", leftover).Int("serving", serving).Int("fillers", fillers).Int("other", other).
 		Int("headroom", t.spread(t.urgent.missing())).Int("short_headroom", t.spread(t.short.missing())).
-		Interface("attempts", phases).Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
+		Int("holds", len(t.holds)).Interface("attempts", phases).Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
 	clear(t.refusals)
 }
 
--- a/execution/term.go
+++ b/execution/term.go
@@ -78,6 +78,8 @@
 	failures    placement.Failures
 	// refusals counts, since the last line about the fleet, why tasks could not be placed.
 	refusals map[placement.Reason]int
+	// holds names the worker on which room is held for a task.
+	holds map[*task]*placement.Node
 	// urgent and short are the demand for short work of the first priority and for all short work.
 	urgent, short demand
 	// usable counts the usable workers, capacity their processors.
@@ -86,13 +88,13 @@
 	// asking is set while a question to the advice service is under way.
 	asking bool
 
-	// forgotten holds the states that are to be removed.
-	forgotten []store.Key
+	// obsolete holds the records of ended jobs that are to be removed.
+	obsolete []store.Key
 
-	dirty      []*job
-	committing bool
-	nextCommit time.Duration
-	renewAt    time.Duration
+	// records and, by group of jobs, states are what has to be stored.
+	records lane
+	states  [store.Groups]lane
+	renewAt time.Duration
 	// unplaced is set when something happened that may let a task be placed.
 	unplaced     bool
 	nextSchedule time.Duration
@@ -112,7 +114,7 @@
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
 		unsettled: make(map[*run]struct{}),
 		unplaced:  true, disturbance: placement.NewDisturbance(),
-		refusals: make(map[placement.Reason]int),
+		refusals: make(map[placement.Reason]int), holds: make(map[*task]*placement.Node),
 	}
 }
 
@@ -162,12 +164,15 @@
 	if t.unplaced {
 		wait = max(t.nextSchedule-now, time.Millisecond)
 	}
-	if len(t.dirty) > 0 && !t.committing {
-		commit := max(t.nextCommit-now, time.Millisecond)
-		if wait == 0 || commit < wait {
-			wait = commit
+	sooner := func(l *lane) {
+		if due := l.wait(now); due > 0 && (wait == 0 || due < wait) {
+			wait = due
 		}
 	}
+	sooner(&t.records)
+	for group := range t.states {
+		sooner(&t.states[group])
+	}
 	return wait
 }
 
@@ -223,10 +228,10 @@
 
 // touch marks a job as changed.
 func (t *Term) touch(j *job) {
-	if !j.dirty {
-		j.dirty = true
-		t.dirty = append(t.dirty, j)
-	}
 	j.sequence++
+	t.markRecord(j)
+	if j.stateDue() {
+		t.markState(j)
+	}
 	t.unplaced = true
 }
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -155,9 +155,22 @@
 
 func (r *rig) pass() {
 	r.Term.schedule(r.clock)
-	r.nextCommit = 0
-	r.Term.commit(r.clock)
-	r.handleEvents()
+	r.store()
+}
+
+// storeRounds is how many commits after one another a change may need: comparing the public state, the record, the state
+// that follows from it.
+const storeRounds = 3
+
+func (r *rig) store() {
+	for range storeRounds {
+		r.records.next, r.renewAt = 0, 0
+		for group := range r.states {
+			r.states[group].next = 0
+		}
+		r.Term.commit(r.clock)
+		r.handleEvents()
+	}
 }
 
 func oneStep(count, cpu int) jobs.Step {
@@ -533,7 +546,7 @@
 			t.Errorf("%s: %v", name, got)
 		}
 	}
-	r.forgotten = []store.Key{store.StateKey("a")}
+	r.forget([]store.Key{store.StateKey("a")})
 	state := jobs.PublicState{State: jobs.StateSucceeded}
 	if _, err := r.table.Commit(r.ctx, store.Txn{Puts: []store.Put{{Key: store.StateKey("a"), Value: jobs.Encode(&state)}}}); err != nil {
 		t.Fatal(err)
--- a/execution/trim.go
+++ b/execution/trim.go
@@ -31,7 +31,7 @@
 		}
 		old := t.oldStates(page.Rows)
 		if len(old) > 0 {
-			t.post(func() { t.forgotten = append(t.forgotten, old...) })
+			t.post(func() { t.forget(old) })
 		}
 	}
 }
@@ -49,10 +49,18 @@
 	return old
 }
 
-// addTrim adds rows to remove to a transaction that stores nothing else. Ended states do not change, so that a row can
+// forget queues rows for removal.
+func (t *Term) forget(keys []store.Key) {
+	for _, key := range keys {
+		l := &t.states[key.Group()]
+		l.forgotten = append(l.forgotten, key)
+	}
+}
+
+// addForgotten adds rows to remove to a transaction that stores nothing else. Ended states do not change, so that a row can
 // only be gone already, which does no harm.
-func (t *Term) addTrim(txn *store.Txn) {
-	n := min(len(t.forgotten), trimBatch)
-	txn.Deletes = append(txn.Deletes, t.forgotten[:n]...)
-	t.forgotten = t.forgotten[n:]
+func (l *lane) addForgotten(txn *store.Txn) {
+	n := min(len(l.forgotten), trimBatch)
+	txn.Deletes = append(txn.Deletes, l.forgotten[:n]...)
+	l.forgotten = l.forgotten[n:]
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,10 @@
 	Usable bool
 	// Used counts every attempt that may be running, including those that are being stopped.
 	Used jobs.Resources
+	// Lasting is the part of Used that tasks take which do not end by themselves.
+	Lasting jobs.Resources
+	// Held is kept for tasks that wait for room here.
+	Held jobs.Resources
 	// FillerCPU and ServingCPU are the processors that filler and serving tasks ask for, in thousandths of a core.
 	FillerCPU  int
 	ServingCPU int
@@ -45,6 +49,24 @@
 // Free is what is left for tasks that count against the capacity.
 func (n *Node) Free() jobs.Resources { return n.Entry.Capacity.Sub(n.Used) }
 
+// Transient is what is free, and what would be if the work ended that ends by itself.
+func (n *Node) Transient() jobs.Resources { return n.Entry.Capacity.Sub(n.Lasting) }
+
+// Hold keeps room for a task of a step that waits; Unhold gives it up.
+func (n *Node) Hold(step *jobs.Step) { n.Held = n.Held.Add(step.Reserved()) }
+
+// Unhold undoes Hold.
+func (n *Node) Unhold(step *jobs.Step) { n.Held = n.Held.Sub(step.Reserved()) }
+
+// roomFor is what a request may take: all that is free but for what is held for others.
+func (n *Node) roomFor(request *Request) jobs.Resources {
+	held := n.Held
+	if request.Holds == n {
+		held = held.Sub(request.Step.Reserved())
+	}
+	return n.Free().Sub(held)
+}
+
 // Leftover is the processor time that further filler tasks would find unused, in thousandths of a core.
 func (n *Node) Leftover() int {
 	idle := int((1 - servingUse) * float64(n.ServingCPU))
@@ -63,6 +85,11 @@
 	n.Used.CPU += sign * r.CPU
 	n.Used.MemoryMB += sign * r.MemoryMB
 	n.Used.GPU += sign * r.GPU
+	if step.LongRunning {
+		n.Lasting.CPU += sign * r.CPU
+		n.Lasting.MemoryMB += sign * r.MemoryMB
+		n.Lasting.GPU += sign * r.GPU
+	}
 	if step.Filler {
 		n.accountFiller(step, sign)
 	}
@@ -135,6 +162,8 @@
 	Offset int
 	// Headroom is kept free on each worker for more urgent tasks, in thousandths of a core.
 	Headroom int
+	// Holds is the worker on which room is held for the task; nil if there is none.
+	Holds *Node
 }
 
 // enough is the number of workers that fit after which a task without special wishes goes to the best of them, so that
@@ -167,6 +196,27 @@
 	return nil, reason
 }
 
+// ChooseHold returns the worker on which to hold room for a task that no worker can take now: the one with the most room
+// among those that could take it once the work there has ended that ends by itself. It returns nil if there is none.
+func ChooseHold(nodes []*Node, request Request) *Node {
+	var best *Node
+	for _, node := range nodes {
+		if refused := check(node, &request); refused != ReasonNone && refused != ReasonNoRoom && refused != ReasonHeadroom {
+			continue
+		}
+		if request.Step.AntiAffinity > 0 && request.OnNode(node.Entry.ID) >= request.Step.AntiAffinity {
+			continue
+		}
+		if node.Entry.ID == request.Avoid || node.Suspect > 0 || !request.Step.Reserved().Fits(node.Transient().Sub(node.Held)) {
+			continue
+		}
+		if best == nil || node.roomFor(&request).CPU > best.roomFor(&request).CPU {
+			best = node
+		}
+	}
+	return best
+}
+
 // Explain counts the workers by the reason for which each of them cannot take a task; ReasonNone counts those that can.
 func Explain(nodes []*Node, request Request) map[Reason]int {
 	counts := make(map[Reason]int)
@@ -204,7 +254,7 @@
 		return ReasonNoLabel
 	case !step.Reserved().Fits(node.Entry.Capacity):
 		return ReasonTooLarge
-	case !step.Reserved().Fits(node.Free()):
+	case !step.Reserved().Fits(node.roomFor(request)):
 		return ReasonNoRoom
 	case !step.Filler && node.Free().CPU-step.Resources.CPU < request.Headroom:
 		return ReasonHeadroom
@@ -321,6 +371,9 @@
 
 // Hopeless reports whether a task of the same kind that needs no more was refused before.
 func (f *Failures) Hopeless(request *Request) bool {
+	if request.Holds != nil {
+		return false
+	}
 	smallest, ok := f.smallest[kindOf(request)]
 	return ok && smallest.Fits(request.Step.Resources)
 }
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -37,6 +37,8 @@
 	mode    Mode
 	late    []store.Txn
 	commits int
+	// refuse turns transactions away that it returns true for; nil refuses none.
+	refuse func(store.Txn) bool
 }
 
 // New returns an empty table.
@@ -49,6 +51,13 @@
 	t.mode = mode
 }
 
+// SetRefuse turns away the transactions for which refuse returns true, as a store does whose parts are unequally loaded.
+func (t *Table) SetRefuse(refuse func(store.Txn) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refuse = refuse
+}
+
 // Commits counts the commits that were asked for.
 func (t *Table) Commits() int {
 	t.mu.Lock()
@@ -78,6 +87,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
+	if t.refuse != nil && t.refuse(txn) {
+		return 0, &store.CallError{Call: "commit", Kind: fault.CodeOverloaded, Detail: "refused"}
+	}
 	unknown := &store.CallError{Call: "commit", Kind: fault.CodeOutcomeUnknown, Detail: "no answer"}
 	switch t.mode {
 	case ModeBusy:
--- a/store/store.go
+++ b/store/store.go
@@ -8,8 +8,11 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bronzehook/fault"
 )
 
@@ -68,7 +71,8 @@
 type Table interface {
 	// Commit returns the version of the transaction. On a conflict the error is a *ConflictError.
 	Commit(ctx context.Context, txn Txn) (uint64, error)
-	// Range returns rows of a table with from <= name < to in ascending order; an empty to means no upper end.
+	// Range returns rows of a table with from <= name < to in ascending order; an empty to means no upper end. From a
+	// table that is spread it may return more rows than the limit.
 	Range(ctx context.Context, table, from, to string, limit int) (Changes, error)
 	// Watch waits for changes of a table after a version, at most for wait.
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
@@ -168,7 +172,33 @@
 // PendingRange returns the bounds of the names in TablePending of a queue.
 func PendingRange(queue string) (from, to string) { return queue + "/", queue + "0" }
 
-// PageSize is the largest number of rows that one Range returns.
+// Groups is the number of groups over which the rows of jobs are spread, so that no part of a store carries all of them.
+const Groups = 12
+
+// NoGroup is the group of rows that are not spread: those that the duty holder changes with every decision.
+const NoGroup = -1
+
+// Group returns the group of a row. A store carries out transactions within one group, or without any, the fastest; it
+// may take them up apart from those of other groups. All rows of one job that callers read and write are in one group.
+func (k Key) Group() int {
+	switch k.Table {
+	case TableStates:
+		return GroupOf(k.Name)
+	case TableIntake, TablePending:
+		return GroupOf(k.Name[strings.LastIndexByte(k.Name, '/')+1:])
+	}
+	return NoGroup
+}
+
+// GroupOf returns the group of a job.
+func GroupOf(id string) int { return int(xxhash.Sum64String(id) % Groups) }
+
+// Spread reports whether the rows of a table are in different groups.
+func Spread(table string) bool {
+	return table == TableStates || table == TableIntake || table == TablePending
+}
+
+// PageSize is the number of rows that List asks for at once.
 const PageSize = 500
 
 // List reads all rows of a table. Version is that of the first page, so that a Watch from there misses nothing.
