Pack serving tasks by image, let lasting tasks fill gaps when there is room elsewhere

Change: the headroom counts room on all workers; serving tasks avoid workers without any and prefer their own image; fillers that hardly disturb leave empty workers to others.

--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -13,6 +13,8 @@
 	// lastingPatience is how long headroom may keep a task that lasts waiting. Such a task has to run again within a few
 	// seconds if there is any room for it.
 	lastingPatience = 2 * time.Second
+	// minPiece is the least room on a worker, in thousandths of a core, that counts as room for short work.
+	minPiece = 6000
 )
 
 // demand remembers the processors that a kind of work needs at its peak, in thousandths of a core.
@@ -76,6 +78,16 @@
 	return use, wait
 }
 
+// observeFree sums up the room in pieces that short work can use.
+func (t *Term) observeFree() {
+	t.free = 0
+	for _, node := range t.nodes.all {
+		if free := node.Free().CPU; node.Usable && free >= minPiece {
+			t.free += free
+		}
+	}
+}
+
 // headroom is what a task has to leave free on each worker. Tasks that last leave room for all short work, short work
 // of a lower priority for that of the first. Fillers need not: they give way by themselves.
 func (t *Term) headroom(one *task, now time.Duration) int {
@@ -84,6 +96,9 @@
 		return 0
 	case one.step.LongRunning && now-one.readyAt > lastingPatience:
 		return 0
+	case one.step.LongRunning && t.free-one.step.Resources.CPU >= int(t.short.missing()):
+		// Short work finds its room elsewhere, so that this task may fill a gap.
+		return 0
 	case one.step.LongRunning:
 		// A worker with room for a lasting task twice over has to take it, whatever else may come.
 		return min(t.spread(t.short.missing()), max(0, one.step.Resources.CPU-1))
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -23,6 +23,7 @@
 	}
 	t.compactOrder()
 	t.refreshHolds()
+	t.observeFree()
 	t.failures = placement.Failures{}
 	t.scheduledAt = now
 	today := t.opts.Now()
@@ -276,6 +277,7 @@
 func (t *Term) assign(j *job, one *task, w *worker, attempt int) *run {
 	one.attempt = attempt
 	t.releaseHold(one)
+	t.free -= one.step.Reserved().CPU
 	r := &run{task: one, attempt: attempt, worker: w, phase: phaseRecording, percent: -1}
 	t.attach(r)
 	t.touch(j)
--- a/execution/term.go
+++ b/execution/term.go
@@ -84,6 +84,8 @@
 	urgent, short demand
 	// usable counts the usable workers, capacity their processors.
 	usable, capacity int
+	// free is the room of the usable workers that short work can use, in thousandths of a core.
+	free int
 
 	// asking is set while a question to the advice service is under way.
 	asking bool
--- a/placement/disturbance.go
+++ b/placement/disturbance.go
@@ -52,6 +52,15 @@
 	return math.Max(0, shared+d.slopes[pair{serving, filler}])
 }
 
+// mildSlope is the slope up to which fillers of an image hardly disturb.
+const mildSlope = 0.6
+
+// Mild reports whether fillers of an image are known to disturb hardly any serving task.
+func (d *Disturbance) Mild(filler string) bool {
+	shared, ok := d.shared[filler]
+	return ok && shared < mildSlope
+}
+
 // Sample is one measurement of a serving task.
 type Sample struct {
 	Image string
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -290,7 +290,10 @@
 	weightAvoid    = 500.0
 	weightAffinity = 100.0
 	weightRack     = 50.0
+	weightUnmixed  = 20.0
+	weightImage    = 12.0
 	weightKind     = 10.0
+	weightMild     = 5.0
 )
 
 func rank(node *Node, request *Request) float64 {
@@ -309,16 +312,15 @@
 	free := float64(node.Free().CPU) / capacity
 	switch {
 	case step.Filler:
-		// The more a filler disturbs, the more a worker without serving tasks is worth to it.
-		if node.Serving > 0 && request.Disturbance != nil {
-			for image := range node.ServingByImage {
-				score -= request.Disturbance.Slope(image, step.Image)
-			}
-		}
-		return score + float64(node.Leftover())/capacity
+		return score + rankFiller(node, request) + float64(node.Leftover())/capacity
 	case step.Serves():
 		// Serving tasks are packed, so that fillers that disturb find workers of their own, unless fillers that
 		// disturb are there already.
+		if node.Serving == 0 {
+			score -= weightUnmixed
+		} else {
+			score += weightImage * node.imageShare(step.Image)
+		}
 		if request.Disturbance != nil && node.Fillers > 0 && request.Disturbance.Stress(node, step) > admitBelow {
 			score -= weightKind
 		}
@@ -327,6 +329,36 @@
 	return score + free
 }
 
+// rankFiller weighs what a filler disturbs. The more it disturbs, the more a worker without serving tasks is worth to it;
+// one that hardly disturbs leaves such workers to others.
+func rankFiller(node *Node, request *Request) float64 {
+	if request.Disturbance == nil {
+		return 0
+	}
+	image := request.Step.Image
+	if node.Serving == 0 {
+		if request.Disturbance.Mild(image) {
+			return -weightMild
+		}
+		return 0
+	}
+	score := 0.0
+	for serving := range node.ServingByImage {
+		score -= request.Disturbance.Slope(serving, image)
+	}
+	return score
+}
+
+// imageShare is the share of a node's serving tasks that are of an image. Serving tasks of one image are put together:
+// which fillers may join depends on the most sensitive image, so that each image that is added rules some out.
+func (n *Node) imageShare(image string) float64 {
+	serving := n.ServingByImage[image]
+	if serving == nil {
+		return 0
+	}
+	return float64(serving.Count) / float64(n.Serving)
+}
+
 // Objective returns how long a job may take to earn its full worth: stretch times its longest chain, plus a constant.
 func Objective(spec *jobs.Spec, stretch float64, target time.Duration) time.Duration {
 	all := func(int) bool { return true }
