Bound the set-back of large jobs by the mean of their queue; look at the duty less often from behind

The order by slack set jobs back by the logarithm of their work without a bound. Change: work beyond the mean of the queue counts no further. Room is held for lasting tasks after 3 s.

--- a/entry/dutyservice.go
+++ b/entry/dutyservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,6 +26,14 @@
 	smallShare   = 0.5
 )
 
+// Instances behind the firstFew that carry the duty best look rareFactor times less often whether it is vacant. What an
+// instance knows of its place is read again after about placeValid.
+const (
+	firstFew   = 3
+	rareFactor = 3
+	placeValid = 15 * time.Second
+)
+
 // releaseTimeout bounds the hand-over of the duty during a planned stop.
 const releaseTimeout = time.Second
 
@@ -37,6 +46,10 @@
 	options   execution.Options
 	logger    zerolog.Logger
 
+	// place counts the instances that carry the duty better, as read before placeUntil.
+	place      int
+	placeUntil time.Time
+
 	loop background
 	// deregister makes a second Stop harmless.
 	deregister sync.Once
@@ -79,8 +92,23 @@
 			s.take(ctx, candidate, seen)
 			continue
 		}
-		sleep(ctx, duty.PollEvery)
+		sleep(ctx, s.pollPause(ctx, seen.Row.Holder))
+	}
+}
+
+// pollPause returns the pause before the next look at the duty's row. Instances that others would precede look less often.
+func (s *dutyService) pollPause(ctx context.Context, holder string) time.Duration {
+	if now := time.Now(); now.After(s.placeUntil) {
+		place, err := duty.Place(ctx, s.table, s.name, holder)
+		if err != nil {
+			place = 0
+		}
+		s.place, s.placeUntil = place, now.Add(placeValid/2+rand.N(placeValid))
+	}
+	if s.place >= firstFew {
+		return rareFactor * duty.PollEvery
 	}
+	return duty.PollEvery
 }
 
 func (s *dutyService) register(ctx context.Context) bool {
--- a/execution/feeds.go
+++ b/execution/feeds.go
@@ -98,6 +98,7 @@
 	}
 	t.jobs[id] = j
 	t.order = append(t.order, j)
+	t.sizes.note(spec)
 	if !spec.Scheduled() {
 		t.openOccurrence(j, 0)
 	}
--- a/execution/hold.go
+++ b/execution/hold.go
@@ -11,13 +11,17 @@
 // maxHolds bounds the waiting tasks for which room is held at one time.
 const maxHolds = 64
 
+// holdPatience is how long a lasting task waits before room is held for it. It is shorter than the time after which such a
+// task has to run again wherever there is room, by the time that short tasks need to end.
+const holdPatience = 3 * time.Second
+
 // Short tasks take room as soon as it comes free, in pieces that are too small for a task that lasts. So room is held for
-// a lasting task that has waited for lastingPatience: on one worker short tasks and fillers get nothing more until the
+// a lasting task that has waited for holdPatience: on one worker short tasks and fillers get nothing more until the
 // task fits there.
 
 // mayHold reports whether room may be held for a task.
 func (t *Term) mayHold(one *task, now time.Duration) bool {
-	return one.step.LongRunning && !one.step.Gang && now-one.readyAt > lastingPatience && len(t.holds) < maxHolds
+	return one.step.LongRunning && !one.step.Gang && now-one.readyAt > holdPatience && len(t.holds) < maxHolds
 }
 
 // holdRoom picks the worker on which room for a task is held: the one with the most room now among those that would have
@@ -57,7 +61,7 @@
 	}
 }
 
-// waitingLasting reports whether a task of a job that lasts has waited for longer than it has to give way to other work.
+// waitingLasting reports whether a task of a job that lasts has waited for so long that it comes before short work.
 func waitingLasting(j *job, now time.Duration) bool {
 	for _, o := range j.occurrences {
 		if o == nil {
@@ -68,7 +72,7 @@
 				continue
 			}
 			for _, one := range step {
-				if one.run == nil && !one.done && now-one.readyAt > lastingPatience {
+				if one.run == nil && !one.done && now-one.readyAt > holdPatience {
 					return true
 				}
 			}
--- a/execution/hold_test.go
+++ b/execution/hold_test.go
@@ -22,7 +22,7 @@
 	step := oneStep(1, 900)
 	step.LongRunning = true
 	lasting := r.submit("lasting", step)
-	r.advance(lastingPatience + time.Millisecond)
+	r.advance(holdPatience + time.Millisecond)
 	number := int64(1)
 	for range 4 {
 		r.pass()
@@ -56,7 +56,7 @@
 			step := oneStep(1, 900)
 			step.LongRunning = true
 			j := r.submit("lasting", step)
-			r.advance(lastingPatience + time.Millisecond)
+			r.advance(holdPatience + time.Millisecond)
 			r.pass()
 			if w.node.Held.CPU != 900 {
 				t.Fatalf("held: %+v", w.node.Held)
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -29,7 +29,7 @@
 	today := t.opts.Now()
 	for _, j := range t.order {
 		t.refreshQueue(j, m)
-		j.rank = rankOf(j, today)
+		j.rank = rankOf(j, today, t.sizes.mean(j.spec.Queue))
 		if waitingLasting(j, now) {
 			j.rank.worth = worthOverdue
 		}
@@ -93,8 +93,42 @@
 // begun is brought to its end, or large jobs would be overtaken until they are worth nothing.
 const progressWeight = 8.0
 
-// rankOf computes a job's rank from the steps that are not done.
-func rankOf(j *job, today time.Time) rank {
+// sizes holds the mean work of the jobs of each queue, in core-seconds by the callers' estimates.
+type sizes map[string]*size
+
+type size struct {
+	count float64
+	mean  float64
+}
+
+// sizeMemory bounds the number of jobs that a mean remembers, so that it follows a change of what callers send.
+const sizeMemory = 200
+
+func (s sizes) note(spec *jobs.Spec) {
+	work := 0.0
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		work += float64(step.Count*step.Resources.CPU) * step.Estimate.Seconds() / 1000
+	}
+	of := s[spec.Queue]
+	if of == nil {
+		of = &size{}
+		s[spec.Queue] = of
+	}
+	of.count = min(of.count+1, sizeMemory)
+	of.mean += (work - of.mean) / of.count
+}
+
+func (s sizes) mean(queue string) float64 {
+	if of := s[queue]; of != nil {
+		return of.mean
+	}
+	return 0
+}
+
+// rankOf computes a job's rank from the steps that are not done. Work beyond the mean of the queue does not set a job back
+// any further: the largest jobs would else be served half as often as all, or less.
+func rankOf(j *job, today time.Time, meanWork float64) rank {
 	var r rank
 	var chain time.Duration
 	left, total := 0, 0
@@ -119,7 +153,7 @@
 		r.worth, limit = 1, j.late
 	}
 	progress := 1 - float64(left)/float64(max(1, total))
-	r.score = limit.Sub(end).Seconds() + sizeWeight*math.Log2(1+r.work) - progressWeight*progress
+	r.score = limit.Sub(end).Seconds() + sizeWeight*math.Log2(1+min(r.work, meanWork)) - progressWeight*progress
 	return r
 }
 
--- a/execution/term.go
+++ b/execution/term.go
@@ -87,6 +87,8 @@
 	// free is the room of the usable workers that short work can use, in thousandths of a core.
 	free int
 
+	sizes sizes
+
 	// asking is set while a question to the advice service is under way.
 	asking bool
 
@@ -106,11 +108,11 @@
 	offset       int
 	failure      error
 	// paused is set, since pausedAt, while the duty has lapsed and no other instance has taken it.
-	paused   bool
-	pausedAt time.Duration
-	began        time.Duration
-	superviseAt  time.Duration
-	stockAt      time.Duration
+	paused      bool
+	pausedAt    time.Duration
+	began       time.Duration
+	superviseAt time.Duration
+	stockAt     time.Duration
 }
 
 // NewTerm returns a term of office for a holder.
@@ -119,8 +121,8 @@
 		opts: opts, holder: holder, events: make(chan func(), eventBacklog),
 		log:  opts.Logger.With().Uint64(logging.KeyEpoch, holder.Epoch()).Logger(),
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), early: make(map[jobs.ID]bool),
-		unsettled: make(map[*run]struct{}),
-		unplaced:  true, disturbance: placement.NewDisturbance(),
+		unsettled: make(map[*run]struct{}), sizes: make(sizes),
+		unplaced: true, disturbance: placement.NewDisturbance(),
 		refusals: make(map[placement.Reason]int), holds: make(map[*task]*placement.Node),
 	}
 }
