Soak with more kinds of faults and up to 30 instances; name what a reload changes

Cause: the soak had three instances, no clocks that misbehave, no lasting tasks and no cancellations; a reload of the settings was logged as done although nothing was read. Change: sizes small, medium and large; the time of day of an instance jumps (a hidden setting names a file), workers' clocks run up to 2% slow, many instances are killed at once, workers drain, one part of the store fails; lasting jobs and cancellations are checked. SIGHUP reads the file again, puts the log level in force and names the other changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryHeadroom * (1 << 20)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	reloads := newReloader(logger)
 	node := assemble(s, logger)
 	if err := node.kernel.Start(context.Background()); err != nil {
 		return err
@@ -54,7 +55,7 @@
 		Dur("lease", s.LeaseLength()).Msg("instance started")
 	for got := range signals {
 		if got == syscall.SIGHUP {
-			logger.Info().Msg("settings reloaded")
+			reloads.reload()
 			continue
 		}
 		break
@@ -80,13 +81,14 @@
 func assemble(s *Settings, logger zerolog.Logger) *node {
 	table := platform.NewStore(s.StoreAddr)
 	current := &manifest.Holder{}
+	wall := &wallClock{path: s.TimeOffsetFile}
 	registry := prometheus.NewRegistry()
 	n := &node{logger: logger}
 	n.duty = &dutyService{
 		table: table, roundTrip: table.Health().RoundTrip, name: s.ID, cpuShare: s.CPUShare, logger: logger,
 		options: execution.Options{
 			Table: table, Workers: platform.NewWorkers(), Manifest: current, WorkersTable: platform.WorkersTable,
-			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: time.Now, Logger: logger,
+			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: wall.now, Logger: logger,
 			LeaseLength: s.LeaseLength(),
 			Retention:   time.Duration(s.Retention) * time.Second, Metrics: execution.NewMetrics(registry),
 		},
@@ -94,13 +96,14 @@
 	if s.AdviceAddr != "" {
 		n.duty.options.Advisor = platform.NewAdvisor(s.AdviceAddr)
 	}
-	callers := intake.New(table, table.Health(), current, intake.NewMetrics(registry), logger)
+	callers := intake.New(table, table.Health(), current, intake.NewMetrics(registry), logger, wall.now)
 	n.callers = &callerServer{addr: s.CallerAddr, handler: n.markLast(platform.NewCallerHandler(callers))}
 	ready := func() bool {
 		return !n.leaving.Load() && current.Current() != nil && !table.Health().Down(readyOutage)
 	}
 	n.kernel = kernel.New(nil)
 	n.kernel.Register(
+		wall,
 		&manifestService{table: table, holder: current, logger: logger},
 		n.duty,
 		n.callers,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,10 +34,13 @@
 	CPUShare    float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, above 0"`
 	MemoryLimit int     `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 64 to 65536"`
 
-	Lease       int    `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
-	StopTimeout int    `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
-	Retention   int    `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
-	LogLevel    string `long:"log-level" env:"BRONZEHOOK_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	Lease       int `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
+	StopTimeout int `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
+	Retention   int `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
+	// TimeOffsetFile names a file with a shift of the time of day in ms. It is for tests of clocks that jump.
+	TimeOffsetFile string `long:"time-offset-file" env:"BRONZEHOOK_TIME_OFFSET_FILE" hidden:"true"`
+
+	LogLevel string `long:"log-level" env:"BRONZEHOOK_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
 // LeaseLength is the lease that the duty holder orders.
@@ -87,12 +90,30 @@
 
 // loadFile adds the lines of a file to the environment. Variables that are set already keep their values.
 func loadFile(path string) error {
+	values, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	for name, value := range values {
+		if _, set := os.LookupEnv(name); set {
+			continue
+		}
+		if err := os.Setenv(name, value); err != nil {
+			return errors.WithStack(&SettingsFileError{Detail: err.Error()})
+		}
+	}
+	return nil
+}
+
+// readFile returns the values of a settings file; none if the path is empty.
+func readFile(path string) (map[string]string, error) {
+	values := make(map[string]string)
 	if path == "" {
-		return nil
+		return values, nil
 	}
 	file, err := os.Open(path)
 	if err != nil {
-		return errors.WithStack(&SettingsFileError{Detail: err.Error()})
+		return nil, errors.WithStack(&SettingsFileError{Detail: err.Error()})
 	}
 	defer file.Close()
 	lines := bufio.NewScanner(file)
@@ -103,18 +124,14 @@
 		}
 		name, value, ok := strings.Cut(line, "=")
 		if !ok {
-			return errors.WithStack(&SettingsFileError{Line: number, Detail: "no = in it"})
-		}
-		if _, set := os.LookupEnv(name); !set {
-			if err := os.Setenv(name, value); err != nil {
-				return errors.WithStack(&SettingsFileError{Line: number, Detail: err.Error()})
-			}
+			return nil, errors.WithStack(&SettingsFileError{Line: number, Detail: "no = in it"})
 		}
+		values[name] = value
 	}
 	if err := lines.Err(); err != nil {
-		return errors.WithStack(&SettingsFileError{Detail: err.Error()})
+		return nil, errors.WithStack(&SettingsFileError{Detail: err.Error()})
 	}
-	return nil
+	return values, nil
 }
 
 func (s *Settings) validate() error {
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
+
 	"bronzehook/fault"
 )
 
@@ -78,3 +81,31 @@
 		t.Errorf("settings %+v, %v", s, err)
 	}
 }
+
+// Guards against a reload that says nothing of settings that do not take effect, or that fails on a file that is gone.
+func TestReloadNamesWhatHasChanged(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.env")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Setenv(SettingsFileVariable, path)
+	write("BRONZEHOOK_LEASE_MS=5000\nBRONZEHOOK_ID=a\nBRONZEHOOK_LOG_LEVEL=info\n")
+	var lines bytes.Buffer
+	r := newReloader(zerolog.New(&lines))
+	t.Cleanup(func() { zerolog.SetGlobalLevel(zerolog.TraceLevel) })
+	write("BRONZEHOOK_LEASE_MS=6000\nBRONZEHOOK_LOG_LEVEL=info\n")
+	r.reload()
+	if got := lines.String(); !strings.Contains(got, `"from_next_start":"BRONZEHOOK_ID,BRONZEHOOK_LEASE_MS"`) {
+		t.Errorf("logged %s", got)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	r.reload()
+	if got := lines.String(); !strings.Contains(got, "settings not reloaded") {
+		t.Errorf("logged %s", got)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -48,6 +48,7 @@
 	manifest *manifest.Holder
 	metrics  *Metrics
 	logger   zerolog.Logger
+	now      func() time.Time
 
 	mu       sync.Mutex
 	counts   map[string]*count
@@ -68,12 +69,12 @@
 	counts *jobs.Counts
 }
 
-// New returns a service.
+// New returns a service. Now reads the time of day, which may jump.
 func New(
-	table store.Table, health Health, holder *manifest.Holder, metrics *Metrics, logger zerolog.Logger,
+	table store.Table, health Health, holder *manifest.Holder, metrics *Metrics, logger zerolog.Logger, now func() time.Time,
 ) *Service {
 	return &Service{
-		table: table, health: health, manifest: holder, metrics: metrics, logger: logger,
+		table: table, health: health, manifest: holder, metrics: metrics, logger: logger, now: now,
 		counts: make(map[string]*count), terminal: make(map[jobs.ID]jobs.PublicState),
 	}
 }
@@ -102,7 +103,7 @@
 // Submit stores a job. A job that is stored already is accepted again: it stays one job.
 func (s *Service) Submit(ctx context.Context, spec *jobs.Spec) error {
 	started := time.Now()
-	spec.Submitted = started.UnixMilli()
+	spec.Submitted = s.now().UnixMilli()
 	known, err := s.submit(ctx, spec)
 	s.metrics.note("submit", started, err)
 	event := s.logger.Info()
@@ -279,7 +280,7 @@
 			return state.State, err
 		}
 		cancelled := state
-		cancelled.State, cancelled.Changed = jobs.StateCancelled, time.Now().UnixMilli()
+		cancelled.State, cancelled.Changed = jobs.StateCancelled, s.now().UnixMilli()
 		err = s.commit(ctx, store.Txn{
 			Conditions: []store.Condition{{Key: store.StateKey(string(id)), Version: version}},
 			Puts: []store.Put{
@@ -346,7 +347,7 @@
 			w.counts, _ = jobs.Decode[jobs.Counts]("counts", rows.Rows[0].Value)
 		}
 	}
-	if w.counts == nil || time.Since(time.UnixMilli(w.counts.Written)).Abs() > countsAge {
+	if w.counts == nil || s.now().Sub(time.UnixMilli(w.counts.Written)).Abs() > countsAge {
 		return nil, false
 	}
 	return w.counts.Pending, true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,9 +29,25 @@
 var (
 	seedFlag  = flag.Int64("soak.seed", 0, "seed of a run; 0 plays the seeds of CI")
 	countFlag = flag.Int("soak.seeds", 1, "number of seeds to play from soak.seed on")
+	sizeFlag  = flag.String("soak.size", "small", "small (3 instances), medium (12) or large (30, with callers up to what they carry)")
 )
 
-// Seeds that CI plays. Every seed that ever failed is added with its cause.
+// size is how large a run is.
+type size struct {
+	instances int
+	workers   int
+	jobEvery  time.Duration
+	faultTime time.Duration
+}
+
+var sizes = map[string]size{
+	"small":  {instances: 3, workers: 8, jobEvery: 90 * time.Millisecond, faultTime: 9 * time.Second},
+	"medium": {instances: 12, workers: 16, jobEvery: 50 * time.Millisecond, faultTime: 14 * time.Second},
+	"large":  {instances: 30, workers: 24, jobEvery: 12 * time.Millisecond, faultTime: 16 * time.Second},
+}
+
+// Seeds that CI plays. Every seed that ever failed is added with its cause, and has a unit test of that cause: what a seed
+// plays changes whenever kinds of faults are added.
 var ciSeeds = []int64{
 	1,
 	// A look meant for an earlier life of a worker arrived late and let the later life forget ends unseen, so that done
@@ -39,11 +56,13 @@
 }
 
 const (
-	instances   = 3
-	workerCount = 8
-	faultTime   = 9 * time.Second
-	settleTime  = 45 * time.Second
-	jobEvery    = 90 * time.Millisecond
+	settleTime = 45 * time.Second
+	// stopTime bounds the time from the acknowledgement of a cancellation, or the end of the faults if that is later,
+	// until nothing of the job runs.
+	stopTime = 8 * time.Second
+	// lastingEvery is the number of jobs of which one has a task that lasts, cancelEvery that of which one is cancelled.
+	lastingEvery = 12
+	cancelEvery  = 9
 )
 
 func TestSoak(t *testing.T) {
@@ -78,6 +97,8 @@
 	ready  string
 	store  *proxy
 	log    *os.File
+	// offset is the file with the shift of the instance's time of day.
+	offset string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -90,7 +111,7 @@
 	defer i.mu.Unlock()
 	command := exec.Command(i.binary, "entry", "--id="+i.name, "--region=r", "--data-centre=d",
 		"--caller-addr="+i.addr, "--ready-addr="+i.ready, "--store-addr="+i.store.addr(), "--lease-ms=5000",
-		"--stop-timeout-s=3")
+		"--stop-timeout-s=3", "--time-offset-file="+i.offset)
 	command.Stdout, command.Stderr = i.log, i.log
 	if err := command.Start(); err != nil {
 		t.Errorf("starting %s: %v", i.name, err)
@@ -110,6 +131,13 @@
 	_ = i.command.Process.Signal(s)
 }
 
+// jump shifts the instance's time of day.
+func (i *instance) jump(t *testing.T, by time.Duration) {
+	if err := os.WriteFile(i.offset, []byte(strconv.FormatInt(by.Milliseconds(), 10)), 0o600); err != nil {
+		t.Error(err)
+	}
+}
+
 // restart ends the process by a signal and starts another.
 func (i *instance) restart(t *testing.T, s syscall.Signal) {
 	i.signal(syscall.SIGCONT)
@@ -130,6 +158,7 @@
 // site is everything of one run.
 type site struct {
 	t         *testing.T
+	size      size
 	random    *rand.Rand
 	store     *platformtest.Store
 	fleet     *platformtest.Fleet
@@ -151,7 +180,10 @@
 func newSite(t *testing.T, binary string, seed int64) *site {
 	t.Helper()
 	random := rand.New(rand.NewSource(seed))
-	s := &site{t: t, random: random, store: platformtest.NewStore()}
+	s := &site{t: t, size: sizes[*sizeFlag], random: random, store: platformtest.NewStore()}
+	if s.size.instances == 0 {
+		t.Fatalf("size %q", *sizeFlag)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -161,7 +193,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	s.fleet = platformtest.NewFleet(s.store, "svc", behaviour(seed))
 	t.Cleanup(s.fleet.Close)
-	for range workerCount {
+	for range s.size.workers {
 		w, err := s.fleet.Add()
 		if err != nil {
 			t.Fatal(err)
@@ -171,13 +203,14 @@
 			t.Fatal(err)
 		}
 		w.Addr = p.addr()
+		w.SetClockRate(1 - 0.02*random.Float64())
 		w.List()
 		s.workers = append(s.workers, p)
 		t.Cleanup(p.close)
 	}
 	s.store.Put("op", "config", manifest(1))
 	logs := logDir(t, seed)
-	for n := range instances {
+	for n := range s.size.instances {
 		p, err := newProxy(listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -187,7 +220,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		i := &instance{name: fmt.Sprintf("n%d", n), binary: binary, addr: freeAddr(t), ready: freeAddr(t), store: p, log: log}
+		i := &instance{name: fmt.Sprintf("n%d", n), binary: binary, addr: freeAddr(t), ready: freeAddr(t), store: p, log: log,
+			offset: filepath.Join(logs, fmt.Sprintf("n%d.offset", n))}
 		i.start(t)
 		t.Cleanup(func() { i.signal(syscall.SIGCONT); i.signal(syscall.SIGKILL) })
 		s.instances = append(s.instances, i)
@@ -214,12 +248,28 @@
 func behaviour(seed int64) platformtest.Behaviour {
 	return platformtest.Behaviour{
 		Duration: func(task string) time.Duration {
+			if lasts(strings.SplitN(task, ".", 2)[0]) {
+				return 0
+			}
 			return time.Duration(200+hash(seed, task)%700) * time.Millisecond
 		},
 		Fails: func(task string, run int) bool { return run == 1 && hash(seed, task)%11 == 0 },
 	}
 }
 
+// number returns the number of a job, which its ID states.
+func number(id string) int64 {
+	n, err := strconv.ParseInt(id, 16, 64)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+// lasts and cancels say what becomes of a job.
+func lasts(id string) bool   { return number(id)%lastingEvery == 0 }
+func cancels(id string) bool { return number(id)%cancelEvery == 0 }
+
 func hash(seed int64, text string) int {
 	sum := uint32(seed)
 	for _, c := range []byte(text) {
@@ -254,13 +304,16 @@
 	time.Sleep(time.Second)
 	close(stop)
 	running.Wait()
+	healed := time.Now()
 	s.callers.settle(settleTime)
+	time.Sleep(time.Until(healed.Add(stopTime)))
 	s.check()
+	s.checkLasting(healed)
 }
 
 // faults brings about faults that overlap, each with an end of its own.
 func (s *site) faults() {
-	end := time.Now().Add(faultTime)
+	end := time.Now().Add(s.size.faultTime)
 	var all sync.WaitGroup
 	for version := 2; time.Now().Before(end); version++ {
 		fault := s.pick(version)
@@ -273,30 +326,58 @@
 
 func (s *site) pick(version int) func() {
 	i := s.instances[s.random.Intn(len(s.instances))]
-	w := s.random.Intn(workerCount)
+	w := s.random.Intn(s.size.workers)
 	worker, wire := s.fleet.Workers()[w], s.workers[w]
 	m := mode(1 + s.random.Intn(int(modeCount)-1))
-	lasts := time.Duration(300+s.random.Intn(4500)) * time.Millisecond
+	span := time.Duration(300+s.random.Intn(4500)) * time.Millisecond
 	kind := platformtest.Fault(1 + s.random.Intn(5))
 	share := 2 + s.random.Intn(4)
+	shift := time.Duration(s.random.Intn(8000)-4000) * time.Millisecond
+	herd := s.random.Perm(len(s.instances))[:1+s.random.Intn(len(s.instances))]
+	part := "jobs-" + strconv.Itoa(s.random.Intn(12))
 	choices := []func(){
 		func() { i.restart(s.t, syscall.SIGKILL) },
 		func() { i.restart(s.t, syscall.SIGTERM) },
 		func() { i.signal(syscall.SIGHUP) },
-		func() { i.signal(syscall.SIGSTOP); time.Sleep(lasts); i.signal(syscall.SIGCONT) },
-		func() { i.store.set(m); time.Sleep(lasts); i.store.set(modePass) },
-		func() { wire.set(m); time.Sleep(lasts); wire.set(modePass) },
+		func() { i.signal(syscall.SIGSTOP); time.Sleep(span); i.signal(syscall.SIGCONT) },
+		func() { i.store.set(m); time.Sleep(span); i.store.set(modePass) },
+		func() { wire.set(m); time.Sleep(span); wire.set(modePass) },
 		func() { worker.Restart() },
-		func() { s.store.SetFault(every(share, kind)); time.Sleep(lasts); s.store.SetFault(nil) },
-		func() { s.store.SetDelay(150 * time.Millisecond); time.Sleep(lasts); s.store.SetDelay(0) },
+		func() { s.store.SetFault(every(share, kind)); time.Sleep(span); s.store.SetFault(nil) },
+		func() { s.store.SetDelay(150 * time.Millisecond); time.Sleep(span); s.store.SetDelay(0) },
 		func() { s.store.Forget() },
-		func() { worker.SetFault(every(share, kind)); time.Sleep(lasts); worker.SetFault(nil) },
-		func() { worker.Unlist(); time.Sleep(lasts); worker.List() },
+		func() { worker.SetFault(every(share, kind)); time.Sleep(span); worker.SetFault(nil) },
+		func() { worker.Unlist(); time.Sleep(span); worker.List() },
 		func() { s.store.Put("op", "config", manifest(version)) },
+		func() { i.jump(s.t, shift); time.Sleep(span); i.jump(s.t, 0) },
+		func() { s.restartAll(herd, syscall.SIGKILL) },
+		func() { i.signal(syscall.SIGTERM); time.Sleep(span / 4); i.restart(s.t, syscall.SIGKILL) },
+		func() { worker.Drain(2 * time.Second); time.Sleep(span); worker.Undrain() },
+		func() { s.store.SetFault(onPart(part, kind)); time.Sleep(span); s.store.SetFault(nil) },
 	}
 	return choices[s.random.Intn(len(choices))]
 }
 
+// restartAll ends several instances at the same moment and starts them again.
+func (s *site) restartAll(which []int, signal syscall.Signal) {
+	var all sync.WaitGroup
+	for _, n := range which {
+		all.Add(1)
+		go func() { defer all.Done(); s.instances[n].restart(s.t, signal) }()
+	}
+	all.Wait()
+}
+
+// onPart applies a fault to the transactions of one part of the store.
+func onPart(part string, kind platformtest.Fault) func(*http.Request) platformtest.Fault {
+	return func(r *http.Request) platformtest.Fault {
+		if platformtest.PartOf(r) == part {
+			return kind
+		}
+		return platformtest.FaultNone
+	}
+}
+
 // every applies a fault to each n-th call.
 func every(n int, kind platformtest.Fault) func(*http.Request) platformtest.Fault {
 	var mu sync.Mutex
@@ -319,11 +400,12 @@
 	for n, w := range s.fleet.Workers() {
 		w.SetFault(nil)
 		s.workers[n].set(modePass)
-		w.List()
+		w.Undrain()
 	}
 	for _, i := range s.instances {
 		i.signal(syscall.SIGCONT)
 		i.store.set(modePass)
+		i.jump(s.t, 0)
 	}
 }
 
@@ -350,6 +432,35 @@
 	s.callers.check(started, done)
 }
 
+// checkLasting requires that lasting tasks are at work unless their jobs are cancelled, and that nothing of a cancelled job
+// runs.
+func (s *site) checkLasting(healed time.Time) {
+	at := make(map[string]int)
+	for _, w := range s.fleet.Workers() {
+		for _, task := range w.RunningTasks() {
+			at[strings.SplitN(task, ".", 2)[0]]++
+		}
+	}
+	s.callers.mu.Lock()
+	defer s.callers.mu.Unlock()
+	for _, id := range s.callers.accepted {
+		state := s.callers.state[id]
+		switch {
+		case state == "cancelled" && at[id] > 0:
+			s.t.Errorf("unasked: %d tasks of %s run %v after the faults, which was cancelled", at[id], id, time.Since(healed))
+		case lasts(id) && state == "running" && at[id] != lastingTasks:
+			s.t.Errorf("lost: %d of %d lasting tasks of %s run", at[id], lastingTasks, id)
+		}
+	}
+	for _, start := range s.fleet.Starts() {
+		id := strings.SplitN(start.Task, ".", 2)[0]
+		cancelled, ok := s.callers.cancelled[id]
+		if limit := cancelled.Add(stopTime); ok && start.At.After(limit) && start.At.After(healed.Add(stopTime)) {
+			s.t.Errorf("unasked: %s started %v after its job was cancelled", start.Task, start.At.Sub(cancelled))
+		}
+	}
+}
+
 // checkOrder requires that all tasks of the first step were done before one of the second started.
 func (s *site) checkOrder() {
 	last := make(map[string]time.Time)
@@ -377,21 +488,33 @@
 	refused  map[string]bool
 	unsure   map[string]bool
 	state    map[string]string
-	next     int
+	// cancelled holds when the cancellation of a job was acknowledged.
+	cancelled map[string]time.Time
+	next      int
 }
 
 func newCallers(s *site) *callers {
 	return &callers{
-		site: s, client: &http.Client{Timeout: 3 * time.Second},
-		refused: make(map[string]bool), unsure: make(map[string]bool), state: make(map[string]string),
+		site: s, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		cancelled: make(map[string]time.Time),
+		refused:   make(map[string]bool), unsure: make(map[string]bool), state: make(map[string]string),
 	}
 }
 
 const jobBody = `{"spec":"soak","steps":[{"count":3,"cpu":2000,"mem_mb":500,"estimated_ms":500,"checkpointing":true},` +
 	`{"count":2,"cpu":3000,"mem_mb":500,"estimated_ms":500,"after":[0]}]}`
 
+const lastingBody = `{"spec":"soak","steps":[{"count":2,"cpu":1500,"mem_mb":300,"estimated_ms":500,"long_running":true}]}`
+
+func bodyOf(id string) string {
+	if lasts(id) {
+		return lastingBody
+	}
+	return jobBody
+}
+
 func (c *callers) call(n int, method, id, body string) (int, string, error) {
-	i := c.site.instances[n%instances]
+	i := c.site.instances[n%len(c.site.instances)]
 	request, err := http.NewRequest(method, "http://"+i.addr+"/q/"+id, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
@@ -414,7 +537,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(jobEvery):
+		case <-time.After(c.site.size.jobEvery):
 		}
 		c.next++
 		id, n := fmt.Sprintf("%016x", c.next), c.next
@@ -427,12 +550,16 @@
 func (c *callers) submit(id string, n int) {
 	sure := true
 	for try := range 3 {
-		status, _, err := c.call(n+try, http.MethodPost, id, jobBody)
+		status, _, err := c.call(n+try, http.MethodPost, id, bodyOf(id))
 		switch {
 		case err == nil && status == http.StatusOK:
 			c.mu.Lock()
 			c.accepted = append(c.accepted, id)
 			c.mu.Unlock()
+			if cancels(id) {
+				time.Sleep(time.Duration(hash(1, id)%1500) * time.Millisecond)
+				c.cancel(id, n)
+			}
 			return
 		case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 		case err != nil && strings.Contains(err.Error(), "connection refused"):
@@ -450,6 +577,20 @@
 	}
 }
 
+// cancel takes a job back, at several instances if need be. A job that has ended stays as it is.
+func (c *callers) cancel(id string, n int) {
+	for try := range 20 {
+		status, _, err := c.call(n+try, http.MethodDelete, id, "")
+		if err == nil && status == http.StatusOK {
+			c.mu.Lock()
+			c.cancelled[id] = time.Now()
+			c.mu.Unlock()
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // askUntil asks for jobs at random.
 func (c *callers) askUntil(stop chan struct{}) {
 	random := rand.New(rand.NewSource(99))
@@ -463,7 +604,7 @@
 		known := append([]string(nil), c.accepted...)
 		c.mu.Unlock()
 		if len(known) > 0 {
-			c.ask(random.Intn(instances), known[random.Intn(len(known))])
+			c.ask(random.Intn(len(c.site.instances)), known[random.Intn(len(known))])
 		}
 	}
 }
@@ -491,7 +632,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.state[id]
-	if (before == "succeeded" || before == "failed") && answer.State != before {
+	if (before == "succeeded" || before == "failed" || before == "cancelled") && answer.State != before {
 		c.site.t.Errorf("mixed: %s went from %s to %s", id, before, answer.State)
 	}
 	c.state[id] = answer.State
@@ -503,7 +644,8 @@
 	end := time.Now().Add(limit)
 	for _, id := range c.accepted {
 		for n := 0; ; n++ {
-			if state := c.ask(n, id); state == "succeeded" || state == "failed" {
+			state := c.ask(n, id)
+			if state == "succeeded" || state == "failed" || state == "cancelled" || (lasts(id) && state == "running") {
 				break
 			}
 			if time.Now().After(end) {
@@ -515,7 +657,10 @@
 	}
 }
 
-const tasksPerJob = 5
+const (
+	tasksPerJob  = 5
+	lastingTasks = 2
+)
 
 func (c *callers) check(started map[string]bool, done map[string]map[string]bool) {
 	c.mu.Lock()
@@ -530,6 +675,10 @@
 	}
 	for _, id := range c.accepted {
 		switch c.state[id] {
+		case "cancelled":
+			if !cancels(id) {
+				c.site.t.Errorf("lost: %s is shown as cancelled, and nobody has cancelled it", id)
+			}
 		case "succeeded":
 			if len(done[id]) != tasksPerJob {
 				c.site.t.Errorf("mixed: %s is shown as succeeded with %d of %d tasks done", id, len(done[id]), tasksPerJob)
