Count the end of an attempt that was given up; keep lines on the whole when the log is full

A failure listed so did not count against max_attempts either. Ruled out: a new life of the worker (its birth is the same); a late look (the ends were listed to the holder itself). Change: an end that is listed for an attempt which was given up counts once. At most 700 lines a second concern single requests or tasks; the log level follows a reload.

--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -62,7 +62,9 @@
 	zerolog.TimeFieldFormat = logging.TimeFormat
 	out := logging.NewBounded(os.Stdout)
 	defer out.Close()
-	logger := logging.New(out, level).With().Str(logging.KeyInstance, s.ID).Logger()
+	// The level is global, so that a reload can change it.
+	zerolog.SetGlobalLevel(level)
+	logger := logging.New(out, zerolog.TraceLevel).With().Str(logging.KeyInstance, s.ID).Logger()
 	if err := entry.Run(s, logger); err != nil {
 		logger.Error().AnErr("error", err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance ended with a failure")
 		return fault.Describe(err).Exit
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -79,6 +79,7 @@
 	t.log.Warn().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
 		Str(logging.KeyWorker, string(r.worker.id())).Str(logging.KeyReason, why).Msg("attempt lost")
 	r.task.ended = max(r.task.ended, r.attempt)
+	r.task.lost = r.attempt
 	t.detach(r)
 	t.breakGang(r.task, r.attempt)
 	t.touch(r.task.job)
@@ -95,25 +96,31 @@
 	}
 	key := runKey{e.Task, e.Attempt}
 	delete(w.foreign, key)
+	var ran time.Duration
 	if r := w.runs[key]; r != nil {
+		if r.startedAt > 0 {
+			ran = t.opts.Clock() - r.startedAt
+		}
 		t.detach(r)
 	}
-	// With the record of an earlier term the end may have been counted already.
-	if e.Attempt > task.ended && !task.done {
-		task.ended = e.Attempt
-		t.count(w, task, e)
+	// With the record of an earlier term the end may have been counted already. That of an attempt which was given up
+	// counts still: the work may be done, and a failure is one whether it was seen in time or not.
+	if (e.Attempt > task.ended || e.Attempt == task.lost) && !task.done {
+		task.ended = max(task.ended, e.Attempt)
+		task.lost = 0
+		t.count(w, task, e, ran)
 		t.touch(j)
 	}
 	w.acks = append(w.acks, ack{number: e.Number, job: j, sequence: j.sequence})
 }
 
-// count changes a task by the end of its attempt.
-func (t *Term) count(w *worker, task *task, e workers.End) {
+// count changes a task by the end of its attempt, which has run for a time; 0 if that isn't known.
+func (t *Term) count(w *worker, task *task, e workers.End, ran time.Duration) {
 	t.log.Info().Stringer(logging.KeyTask, e.Task).Int(logging.KeyAttempt, e.Attempt).
 		Str(logging.KeyWorker, string(w.id())).Str("cause", string(e.Cause)).Int("failures", task.failures).
-		Msg("attempt ended")
+		Dur("ran", ran).Msg("attempt ended")
 	t.opts.Metrics.ended(e.Cause)
-	if e.Checkpoint != "" {
+	if e.Checkpoint != "" && task.run == nil {
 		task.checkpoint = e.Checkpoint
 	}
 	switch e.Cause {
--- a/execution/model.go
+++ b/execution/model.go
@@ -41,6 +41,8 @@
 	// confirmed is when the worker was last known to have it, or known to refuse it from then on.
 	confirmed time.Duration
 	orderedAt time.Duration
+	// startedAt is when this term learnt that the worker has it; 0 for an attempt of an earlier term.
+	startedAt time.Duration
 	orders    int
 	// retryDue is set while an order without an answer is to be repeated at orderedAt.
 	retryDue bool
@@ -60,13 +62,15 @@
 
 // task is one task of a live job.
 type task struct {
-	job        *job
-	id         jobs.Task
-	step       *jobs.Step
-	done       bool
-	failures   int
-	attempt    int
-	ended      int
+	job      *job
+	id       jobs.Task
+	step     *jobs.Step
+	done     bool
+	failures int
+	attempt  int
+	ended    int
+	// lost is the newest attempt that was given up without a listed end; 0 if there is none. Its end may yet be listed.
+	lost       int
 	checkpoint string
 	run        *run
 	avoid      workers.ID
--- a/execution/orders.go
+++ b/execution/orders.go
@@ -59,6 +59,7 @@
 		w.noteClock(clock, now)
 		r.phase, r.confirmed, r.movedAt = phaseRunning, now, now
 		t.opts.Metrics.started(now - r.task.readyAt)
+		r.startedAt = now
 		t.log.Info().Stringer(logging.KeyTask, r.task.id).Int(logging.KeyAttempt, r.attempt).
 			Str(logging.KeyWorker, string(w.id())).Dur("waited", now-r.task.readyAt).Msg("attempt started")
 		t.begun(r.task.job)
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -557,3 +557,45 @@
 		t.Error("the state is still there")
 	}
 }
+
+// Guards against work that is done again although its worker lists it as done, and against a failure that does not count,
+// because the attempt had been given up when the lease of its silent worker ran out. Seed 3001 of the soak.
+func TestEndOfAnAttemptThatWasGivenUpCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause          workers.Cause
+		done, failures int
+	}{
+		"done":   {workers.CauseDone, 1, 0},
+		"failed": {workers.CauseFailed, 0, 1},
+		"lapsed": {workers.CauseLapsed, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, memory.New())
+			w := r.addWorker("w", 1000)
+			j := r.submit("a", oneStep(2, 100))
+			r.pass()
+			r.lookFailed(w, r.target(w), r.clock, &workers.UnreachableError{Worker: w.id()})
+			r.advance(2 * testLease)
+			r.expire(r.clock)
+			if len(w.runs) != 0 {
+				t.Fatalf("%d attempts are still waited for", len(w.runs))
+			}
+			listed := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: c.cause}
+			for range 2 {
+				// The end is listed until it is confirmed, and counts once.
+				inventory := workers.Inventory{Clock: 20_000, Born: 1, Ended: []workers.End{listed}}
+				w.listedUpTo = 0
+				r.looked(w, workers.Look{Target: r.target(w)}, r.clock, inventory, nil)
+			}
+			task := j.occurrences[0].steps[0][0]
+			if task.done != (c.done == 1) || task.failures != c.failures {
+				t.Errorf("done %v, %d failures", task.done, task.failures)
+			}
+			r.refreshNodes(r.clock)
+			r.pass()
+			if want := 4 - c.done; r.client.startCount() != want {
+				t.Errorf("%d starts, want %d", r.client.startCount(), want)
+			}
+		})
+	}
+}
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -12,9 +12,11 @@
 const (
 	// maxBuffered bounds the bytes that wait to be written.
 	maxBuffered = 256 << 10
-	// importantReserve of them is kept for warnings and errors.
+	// importantReserve of them is kept for warnings, errors, and lines that concern more than one request or task.
 	importantReserve = 64 << 10
 	flushEvery       = 50 * time.Millisecond
+	// maxPerSecond bounds the other lines of a second: what collects the output takes up no more.
+	maxPerSecond = 700
 )
 
 // Bounded collects lines in memory and writes them from a goroutine of its own, so that a reader that stalls never
@@ -25,6 +27,9 @@
 	buffer  []byte
 	spare   []byte
 	dropped int
+	// second and inSecond count the lines of the present second that are not important.
+	second   int64
+	inSecond int
 	wake    chan struct{}
 	done    chan struct{}
 	closed  bool
@@ -39,7 +44,18 @@
 
 var importantMarks = [][]byte{[]byte("level=warn"), []byte("level=error"), []byte("level=fatal")}
 
+// singleMarks begin the pairs that name one request or task.
+var singleMarks = [][]byte{[]byte(" " + KeyTask + "="), []byte(" " + KeyRequest + "=")}
+
+// important reports whether a line has to be kept before others: it warns, or tells of the process or the fleet as a whole.
 func important(line []byte) bool {
+	single := false
+	for _, mark := range singleMarks {
+		single = single || bytes.Contains(line, mark)
+	}
+	if !single {
+		return true
+	}
 	for _, mark := range importantMarks {
 		if bytes.Contains(line, mark) {
 			return true
@@ -52,9 +68,12 @@
 func (b *Bounded) Write(line []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := maxBuffered - importantReserve
-	if len(b.buffer)+len(line) > limit && important(line) {
-		limit = maxBuffered
+	limit := maxBuffered
+	if !important(line) {
+		limit -= importantReserve
+		if !b.withinRate() {
+			limit = 0
+		}
 	}
 	if len(b.buffer)+len(line) > limit {
 		b.dropped++
@@ -70,6 +89,15 @@
 	return len(line), nil
 }
 
+// withinRate counts a line and reports whether its second has room for it.
+func (b *Bounded) withinRate() bool {
+	if now := time.Now().Unix(); now != b.second {
+		b.second, b.inSecond = now, 0
+	}
+	b.inSecond++
+	return b.inSecond <= maxPerSecond
+}
+
 func (b *Bounded) run() {
 	defer close(b.done)
 	for range b.wake {
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// Guards against a log in which the change of the duty cannot be found, because lines on single tasks took all the room.
+func TestLinesOnTheWholeSurviveAFloodOfSingleOnes(t *testing.T) {
+	var out bytes.Buffer
+	bounded := NewBounded(&out)
+	logger := New(bounded, zerolog.InfoLevel)
+	const flood = 4 * maxPerSecond
+	for range flood {
+		logger.Info().Str(KeyTask, "t").Msg("attempt placed")
+	}
+	logger.Info().Int(KeyEpoch, 7).Msg("duty claimed")
+	bounded.Close()
+	all := out.String()
+	for _, want := range []string{"duty claimed", "log lines dropped"} {
+		if !strings.Contains(all, want) {
+			t.Errorf("the log lacks %q", want)
+		}
+	}
+	// The flood may reach into a second second.
+	if n := strings.Count(all, "attempt placed"); n < maxPerSecond || n > 2*maxPerSecond {
+		t.Errorf("%d of %d lines on single tasks", n, flood)
+	}
+}
+
 // Guards against values that hold quotes, separators or nested objects breaking the pairs of a line.
 func TestValuesKeepTheirShape(t *testing.T) {
 	cases := map[string]struct {
