--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -30,9 +30,9 @@
 	// second and inSecond count the lines of the present second that are not important.
 	second   int64
 	inSecond int
-	wake    chan struct{}
-	done    chan struct{}
-	closed  bool
+	wake     chan struct{}
+	done     chan struct{}
+	closed   bool
 }
 
 // NewBounded returns a writer. Close writes what is left.
