Let tasks wait for a worker near their data

Change: such a task waits for 0.4 of the time that it would lose; how much that is comes from the settings.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,8 +89,8 @@
 		options: execution.Options{
 			Table: table, Workers: platform.NewWorkers(), Manifest: current, WorkersTable: platform.WorkersTable,
 			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: wall.now, Logger: logger,
-			LeaseLength: s.LeaseLength(),
-			Retention:   time.Duration(s.Retention) * time.Second, Metrics: execution.NewMetrics(registry),
+			LeaseLength: s.LeaseLength(), FarFactor: s.FarFactor,
+			Retention: time.Duration(s.Retention) * time.Second, Metrics: execution.NewMetrics(registry),
 		},
 	}
 	if s.AdviceAddr != "" {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -34,9 +34,10 @@
 	CPUShare    float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, above 0"`
 	MemoryLimit int     `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 64 to 65536"`
 
-	Lease       int `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
-	StopTimeout int `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
-	Retention   int `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
+	Lease       int     `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
+	StopTimeout int     `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
+	FarFactor   float64 `long:"far-factor" env:"BRONZEHOOK_FAR_FACTOR" default:"2" description:"how many times as long a task takes far from its data, 1 to 100"`
+	Retention   int     `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
 	// TimeOffsetFile names a file with a shift of the time of day in ms. It is for tests of clocks that jump.
 	TimeOffsetFile string `long:"time-offset-file" env:"BRONZEHOOK_TIME_OFFSET_FILE" hidden:"true"`
 
@@ -160,6 +161,9 @@
 			})
 		}
 	}
+	if s.FarFactor < 1 || s.FarFactor > 100 {
+		return errors.WithStack(&settings.InvalidError{Flag: "far-factor", Value: fmt.Sprint(s.FarFactor), Accepted: "1 to 100"})
+	}
 	if s.CPUShare <= 0 {
 		return errors.WithStack(&settings.InvalidError{Flag: "cpu-share", Value: fmt.Sprint(s.CPUShare), Accepted: "above 0"})
 	}
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -277,9 +277,18 @@
 	if one.step.RackSensitive {
 		request.RackInUse = rackOf(siblings)
 	}
+	request.NearOnly = one.step.Affinity != "" && t.scheduledAt-one.readyAt < t.nearPatience(one.step)
 	return request
 }
 
+// nearShare is the share of the time that a task loses by running far from its data for which it waits to run near it.
+const nearShare = 0.4
+
+// nearPatience is how long a task of a step waits for a worker near its data.
+func (t *Term) nearPatience(step *jobs.Step) time.Duration {
+	return time.Duration(nearShare * max(0, t.opts.FarFactor-1) * float64(step.Estimate))
+}
+
 // offsetStride spreads the first workers that successive placements look at.
 const offsetStride = 37
 
--- a/execution/schedule_test.go
+++ b/execution/schedule_test.go
@@ -39,3 +39,25 @@
 		t.Errorf("mean %.1f core-seconds", got)
 	}
 }
+
+// Guards against tasks that run far from their data although a worker near it comes free soon, and against tasks that wait
+// for one for ever.
+func TestTasksWaitForAWorkerNearTheirData(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.opts.FarFactor = 3
+	near, far := r.addWorker("near", 100), r.addWorker("far", 1000)
+	near.node.Entry.Labels = []string{"a", "rack-1"}
+	far.node.Entry.Labels = []string{"a", "rack-2"}
+	step := oneStep(2, 100)
+	step.Affinity = "rack-1"
+	r.submit("a", step)
+	r.pass()
+	if len(near.runs) != 1 || len(far.runs) != 0 {
+		t.Fatalf("%d near, %d far", len(near.runs), len(far.runs))
+	}
+	r.advance(r.nearPatience(&step) + time.Millisecond)
+	r.pass()
+	if len(far.runs) != 1 {
+		t.Error("a task waits for a worker near its data for ever")
+	}
+}
--- a/execution/term.go
+++ b/execution/term.go
@@ -32,6 +32,8 @@
 	Logger zerolog.Logger
 	// LeaseLength is how long a worker runs attempts on without hearing from the holder.
 	LeaseLength time.Duration
+	// FarFactor is how many times as long a task takes far from its data; 0 if that isn't known.
+	FarFactor float64
 	// Retention is how long the state of an ended job can be read at the least.
 	Retention time.Duration
 	Metrics   *Metrics
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -142,6 +142,7 @@
 	ReasonSpread     Reason = "spread-over-workers"
 	ReasonSeparated  Reason = "kept-apart-from-serving-tasks"
 	ReasonHeadroom   Reason = "headroom-for-more-urgent-tasks"
+	ReasonFar        Reason = "far-from-its-data"
 )
 
 // Request asks for a worker for one task.
@@ -162,6 +163,8 @@
 	Offset int
 	// Headroom is kept free on each worker for more urgent tasks, in thousandths of a core.
 	Headroom int
+	// NearOnly rules out workers far from the task's data.
+	NearOnly bool
 	// Holds is the worker on which room is held for the task; nil if there is none.
 	Holds *Node
 }
@@ -232,7 +235,7 @@
 }
 
 var specificity = map[Reason]int{
-	ReasonNoWorker: 0, ReasonNotAllowed: 1, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
+	ReasonNoWorker: 0, ReasonNotAllowed: 1, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonFar: 2, ReasonSpread: 3, ReasonSeparated: 4, ReasonHeadroom: 5, ReasonNoRoom: 6,
 }
 
 func moreSpecific(a, b Reason) Reason {
@@ -252,6 +255,8 @@
 		return ReasonNotAllowed
 	case step.Requires != "" && !node.Entry.HasLabel(step.Requires):
 		return ReasonNoLabel
+	case request.NearOnly && !node.Entry.HasLabel(step.Affinity):
+		return ReasonFar
 	case !step.Reserved().Fits(node.Entry.Capacity):
 		return ReasonTooLarge
 	case !step.Reserved().Fits(node.roomFor(request)):
@@ -389,6 +394,8 @@
 	service, requires, image string
 	filler, lasting          bool
 	headroom                 int
+	// near is the label to which a task is bound for now.
+	near string
 }
 
 func kindOf(request *Request) kind {
@@ -398,6 +405,9 @@
 	if step.Filler {
 		k.image = step.Image
 	}
+	if request.NearOnly {
+		k.near = step.Affinity
+	}
 	return k
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -37,6 +37,22 @@
 		"worker of another service": {
 			func(n *placement.Node, _ *jobs.Step, _ *placement.Request) { n.Entry.Service = "x" }, placement.ReasonNoWorker,
 		},
+		"far from the data while a near worker may come free": {
+			func(_ *placement.Node, s *jobs.Step, r *placement.Request) { s.Affinity, r.NearOnly = "r-other", true }, placement.ReasonFar,
+		},
+		"near the data": {
+			func(n *placement.Node, s *jobs.Step, r *placement.Request) {
+				s.Affinity, r.NearOnly = n.Entry.Rack, true
+			}, placement.ReasonNone,
+		},
+		"room that is held for another task": {
+			func(n *placement.Node, _ *jobs.Step, _ *placement.Request) {
+				n.Hold(step(n.Entry.Capacity.CPU))
+			}, placement.ReasonNoRoom,
+		},
+		"room that is held for the task itself": {
+			func(n *placement.Node, s *jobs.Step, r *placement.Request) { n.Hold(s); r.Holds = n }, placement.ReasonNone,
+		},
 		"label missing": {
 			func(_ *placement.Node, s *jobs.Step, _ *placement.Request) { s.Requires = "b" }, placement.ReasonNoLabel,
 		},
