--- /dev/null
+++ b/execution/gang_test.go
@@ -0,0 +1,114 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/store"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+func gangStep(count, cpu int) jobs.Step {
+	step := oneStep(count, cpu)
+	step.Gang = true
+	return step
+}
+
+// Guards against members of a gang that wait alone, because there was room for a part of it.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	r := newRig(t, memory.New())
+	first := r.addWorker("w1", 200)
+	j := r.submit("a", gangStep(3, 100))
+	r.pass()
+	if j.live != 0 || len(first.runs) != 0 {
+		t.Fatalf("%d of 3 members started", j.live)
+	}
+	r.addWorker("w2", 200)
+	r.pass()
+	if j.live != 3 {
+		t.Fatalf("%d of 3 members started", j.live)
+	}
+	for _, start := range r.client.starts {
+		if start.Attempt != 1 {
+			t.Errorf("%v started as attempt %d", start.Task, start.Attempt)
+		}
+	}
+}
+
+// Guards against a gang of members of different attempts after one of them has failed, and against a failure that counts
+// for each member.
+func TestBrokenGangStartsAgainAsAWhole(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	j := r.submit("a", gangStep(2, 100))
+	r.pass()
+	task := func(index int) jobs.Task { return jobs.Task{Job: "a", Index: index} }
+	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{
+		{Number: 1, Task: task(0), Attempt: 1, Cause: workers.CauseFailed, Checkpoint: "c"},
+		{Number: 2, Task: task(1), Attempt: 1, Cause: workers.CauseBroken},
+	}}, nil)
+	r.pass()
+	if j.terminal() {
+		t.Fatalf("the job is %s after one failure of the gang", j.state)
+	}
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	if len(r.client.starts) != 4 {
+		t.Fatalf("%d starts", len(r.client.starts))
+	}
+	for _, start := range r.client.starts[2:] {
+		if start.Attempt != 2 || start.Checkpoint != "c" {
+			t.Errorf("%v started as attempt %d from checkpoint %q", start.Task, start.Attempt, start.Checkpoint)
+		}
+	}
+}
+
+// Guards against a gang that runs on, or again, after one of its members was listed as done: that end stands for all.
+func TestOneEndOfAGangStandsForAll(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.submit("a", gangStep(3, 100))
+	r.pass()
+	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{
+		{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone},
+		{Number: 2, Task: jobs.Task{Job: "a", Index: 1}, Attempt: 1, Cause: workers.CauseDone},
+		{Number: 3, Task: jobs.Task{Job: "a", Index: 2}, Attempt: 1, Cause: workers.CauseDone},
+	}}, nil)
+	r.pass()
+	state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey("a")))
+	if err != nil || state.State != jobs.StateSucceeded {
+		t.Errorf("state %v, %v", state, err)
+	}
+	if n := r.client.startCount(); n != 3 {
+		t.Errorf("%d starts", n)
+	}
+}
+
+// Guards against an occurrence of a repeated job that starts before it is due or not at all, and against one that waits for
+// the one before it.
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.addWorker("w", 1000)
+	spec := &jobs.Spec{
+		ID: "a", Queue: testQueue, Steps: []jobs.Step{oneStep(1, 100)}, Submitted: r.today.UnixMilli(),
+		Repeat: 3, FirstRun: r.today.Add(time.Second).UnixMilli(), Interval: 2 * time.Second,
+	}
+	state := jobs.PublicState{State: jobs.StateQueued, Queue: testQueue}
+	version, err := r.table.Commit(r.ctx, store.Txn{Puts: []store.Put{{Key: store.StateKey("a"), Value: jobs.Encode(&state)}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.applyIntake(store.Row{Key: store.JobKey("a"), Value: jobs.Encode(spec), Version: version})
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {999 * time.Millisecond, 0}, {time.Second, 1}, {2 * time.Second, 1}, {3 * time.Second, 2}, {5 * time.Second, 3}, {9 * time.Second, 3}} {
+		r.today = time.UnixMilli(spec.Submitted).Add(c.after)
+		r.pass()
+		if n := r.client.startCount(); n != c.want {
+			t.Errorf("%v after the submission: %d starts, want %d", c.after, n, c.want)
+		}
+	}
+}
