Ask silent workers again after their leases have run out; tell open outcomes at once

Ruled out: phantom attempts (the accounts of the other 65 workers were full), held room (none could be held). Change: a silent worker is looked at whatever it may run. Before: both new tests red.

--- a/execution/model.go
+++ b/execution/model.go
@@ -209,5 +209,5 @@
 
 // expectsAnswers reports whether the worker has to be looked at.
 func (w *worker) expectsAnswers() bool {
-	return !w.fenced || len(w.runs) > 0 || len(w.foreign) > 0 || w.ackedUpTo < w.listedUpTo
+	return !w.fenced || w.lookFailures > 0 || len(w.runs) > 0 || len(w.foreign) > 0 || w.ackedUpTo < w.listedUpTo
 }
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -599,3 +599,28 @@
 		})
 	}
 }
+
+// Guards against a worker that is never asked again: it was silent until its last lease had run out, so that nothing was
+// expected of it any more, and its room stayed unused for the rest of the term.
+func TestSilentWorkerIsAskedAgainAfterItsLeasesHaveRunOut(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.submit("a", oneStep(1, 100))
+	r.pass()
+	r.lookFailed(w, r.target(w), r.clock, &workers.UnreachableError{Worker: w.id()})
+	r.advance(2 * testLease)
+	r.expire(r.clock)
+	if len(w.runs) != 0 {
+		t.Fatalf("%d attempts are still waited for", len(w.runs))
+	}
+	r.look(r.clock)
+	r.handleEvents()
+	r.refreshNodes(r.clock)
+	if !w.node.Usable {
+		t.Fatal("the worker answers and is not used")
+	}
+	r.pass()
+	if n := r.client.startCount(); n != 2 {
+		t.Errorf("%d starts", n)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,9 @@
 	retryPause = 40 * time.Millisecond
 	// refusedBudget bounds the time that refused calls are tried again, so that a refusal comes early.
 	refusedBudget = 150 * time.Millisecond
+	// openBudget is the time after which a call is not tried again whose outcome is open. The caller is told so at once and
+	// may ask another instance; to hold the request until its deadline would keep it from that.
+	openBudget = 600 * time.Millisecond
 	// reserve is kept back from a caller's deadline for the way of the answer.
 	reserve = 150 * time.Millisecond
 	// countAge is the greatest age of a count of pending jobs.
@@ -180,7 +183,11 @@
 
 // mayRetry pauses and reports whether another attempt is worth it.
 func (s *Service) mayRetry(ctx context.Context, started time.Time, open bool) bool {
-	if !open && time.Since(started) > refusedBudget {
+	budget := refusedBudget
+	if open {
+		budget = openBudget
+	}
+	if time.Since(started) > budget {
 		return false
 	}
 	deadline, ok := ctx.Deadline()
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -204,3 +204,28 @@
 		t.Errorf("pending in an outage: %v", err)
 	}
 }
+
+// slowlyUnsure gives commits no answer, after a while.
+type slowlyUnsure struct {
+	*memory.Table
+	after time.Duration
+}
+
+func (s *slowlyUnsure) Commit(context.Context, store.Txn) (uint64, error) {
+	time.Sleep(s.after)
+	return 0, &store.CallError{Call: "commit", Kind: fault.CodeOutcomeUnknown, Detail: "time-out"}
+}
+
+// Guards against a request that is held until its deadline though its outcome can't be told, so that its caller has no time
+// left to ask another instance.
+func TestOpenOutcomesAreToldAtOnce(t *testing.T) {
+	s := newService(&slowlyUnsure{Table: memory.New(), after: 800 * time.Millisecond}, &health{})
+	started := time.Now()
+	err := s.Submit(within(t, 3*time.Second), spec("a"))
+	if fault.CodeOf(err) != fault.CodeOutcomeUnknown {
+		t.Errorf("submit: %v", err)
+	}
+	if took := time.Since(started); took > 1300*time.Millisecond {
+		t.Errorf("held for %v", took)
+	}
+}
