--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -613,6 +613,7 @@
 	if len(w.runs) != 0 {
 		t.Fatalf("%d attempts are still waited for", len(w.runs))
 	}
+	r.store()
 	r.look(r.clock)
 	r.handleEvents()
 	r.refreshNodes(r.clock)
