Read rows, sum work and release acknowledgements in one place each

After every commit of public states, of which twelve lanes make many, all workers were gone through for ends to confirm, though only the removal of a job's rows stores any. Tests repeated the look that lists ends, and the job's part of a task's name. Ruled out: a change of behaviour: records release their own ends, as before. Assertions of tests are as they were.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -107,7 +107,7 @@
 // Observe reads the row once.
 func (c *Candidate) Observe(ctx context.Context) (Observation, error) {
 	asked := c.clock()
-	rows, err := c.table.Range(ctx, key.Table, key.Name, key.Name+"\x00", 1)
+	rows, err := store.ReadRow(ctx, c.table, key)
 	if err != nil {
 		return Observation{}, err
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -78,8 +78,7 @@
 }
 
 func (s *manifestService) readWhole(ctx context.Context) (uint64, error) {
-	key := platform.ManifestKey
-	rows, err := s.table.Range(ctx, key.Table, key.Name, key.Name+"\x00", 1)
+	rows, err := store.ReadRow(ctx, s.table, platform.ManifestKey)
 	if err != nil {
 		return 0, err
 	}
--- a/entry/wallclock.go
+++ b/entry/wallclock.go
@@ -45,9 +45,6 @@
 
 // read takes up the file, which holds milliseconds. A file that can't be read changes nothing.
 func (c *wallClock) read() {
-	if c.path == "" {
-		return
-	}
 	content, err := os.ReadFile(c.path)
 	if err != nil {
 		return
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -239,10 +239,15 @@
 		t.commitFailed(l, batch, err, t.markState)
 		return
 	}
+	final := false
 	for _, c := range batch {
 		t.stateCommitted(c, version)
+		final = final || c.final
+	}
+	// Only the removal of a job's rows stores an end; other states wait for the record.
+	if final {
+		t.releaseAcks()
 	}
-	t.releaseAcks()
 }
 
 func (t *Term) stateCommitted(c change, version uint64) {
--- a/execution/commit_test.go
+++ b/execution/commit_test.go
@@ -37,7 +37,7 @@
 		t.Fatalf("%d starts", n)
 	}
 	done := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone}
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{done}}, nil)
+	r.lists(w, done)
 	r.pass()
 	if n := r.client.startCount(); n != 2 {
 		t.Errorf("%d starts after the first step", n)
@@ -83,7 +83,7 @@
 	for i, id := range ids {
 		ends = append(ends, workers.End{Number: int64(i + 1), Task: jobs.Task{Job: jobs.ID(id)}, Attempt: 1, Cause: workers.CauseDone})
 	}
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: ends}, nil)
+	r.lists(w, ends...)
 	r.pass()
 	for _, id := range ids {
 		state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey(id)))
@@ -143,7 +143,7 @@
 		return false
 	})
 	done := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone}
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{done}}, nil)
+	r.lists(w, done)
 	r.pass()
 	state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey("a")))
 	if err != nil || state.State != jobs.StateSucceeded {
--- a/execution/gang_test.go
+++ b/execution/gang_test.go
@@ -45,10 +45,10 @@
 	j := r.submit("a", gangStep(2, 100))
 	r.pass()
 	task := func(index int) jobs.Task { return jobs.Task{Job: "a", Index: index} }
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{
-		{Number: 1, Task: task(0), Attempt: 1, Cause: workers.CauseFailed, Checkpoint: "c"},
-		{Number: 2, Task: task(1), Attempt: 1, Cause: workers.CauseBroken},
-	}}, nil)
+	r.lists(w,
+		workers.End{Number: 1, Task: task(0), Attempt: 1, Cause: workers.CauseFailed, Checkpoint: "c"},
+		workers.End{Number: 2, Task: task(1), Attempt: 1, Cause: workers.CauseBroken},
+	)
 	r.pass()
 	if j.terminal() {
 		t.Fatalf("the job is %s after one failure of the gang", j.state)
@@ -71,11 +71,11 @@
 	w := r.addWorker("w", 1000)
 	r.submit("a", gangStep(3, 100))
 	r.pass()
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{
-		{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone},
-		{Number: 2, Task: jobs.Task{Job: "a", Index: 1}, Attempt: 1, Cause: workers.CauseDone},
-		{Number: 3, Task: jobs.Task{Job: "a", Index: 2}, Attempt: 1, Cause: workers.CauseDone},
-	}}, nil)
+	r.lists(w,
+		workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone},
+		workers.End{Number: 2, Task: jobs.Task{Job: "a", Index: 1}, Attempt: 1, Cause: workers.CauseDone},
+		workers.End{Number: 3, Task: jobs.Task{Job: "a", Index: 2}, Attempt: 1, Cause: workers.CauseDone},
+	)
 	r.pass()
 	state, err := jobs.Decode[jobs.PublicState]("state", r.table.Value(store.StateKey("a")))
 	if err != nil || state.State != jobs.StateSucceeded {
--- a/execution/rank.go
+++ b/execution/rank.go
@@ -41,11 +41,15 @@
 // sizeMemory bounds the number of jobs that a mean remembers, so that it follows a change of what callers send.
 const sizeMemory = 200
 
+// workOf returns the work of a number of tasks of a step, in core-seconds.
+func workOf(step *jobs.Step, count int) float64 {
+	return float64(count*step.Resources.CPU) * step.Estimate.Seconds() / 1000
+}
+
 func (s sizes) note(spec *jobs.Spec) {
 	work := 0.0
 	for i := range spec.Steps {
-		step := &spec.Steps[i]
-		work += float64(step.Count*step.Resources.CPU) * step.Estimate.Seconds() / 1000
+		work += workOf(&spec.Steps[i], spec.Steps[i].Count)
 	}
 	of := s[spec.Queue]
 	if of == nil {
@@ -78,7 +82,7 @@
 			step := &j.spec.Steps[s]
 			left += count
 			total += step.Count
-			r.work += float64(count*step.Resources.CPU) * step.Estimate.Seconds() / 1000
+			r.work += workOf(step, count)
 		}
 	}
 	end := today.Add(chain)
--- a/execution/stock.go
+++ b/execution/stock.go
@@ -12,8 +12,12 @@
 	}
 	t.stockAt = now + stockEvery
 	var usable, silent, servingNodes, fillerNodes, free, leftover, serving, fillers, other int
+	phases := make(map[string]int)
 	for _, w := range t.workers {
 		n := &w.node
+		for _, r := range w.runs {
+			phases[r.describe()]++
+		}
 		if w.lookFailures > 0 {
 			silent++
 		}
@@ -35,12 +39,6 @@
 			leftover += n.Leftover()
 		}
 	}
-	phases := make(map[string]int)
-	for _, w := range t.workers {
-		for _, r := range w.runs {
-			phases[r.describe()]++
-		}
-	}
 	waiting := 0
 	for _, j := range t.jobs {
 		if !j.begun {
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -173,6 +173,11 @@
 	}
 }
 
+// lists lets a worker answer a look with ends and nothing that runs.
+func (r *rig) lists(w *worker, ends ...workers.End) {
+	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: ends}, nil)
+}
+
 func oneStep(count, cpu int) jobs.Step {
 	return jobs.Step{Count: count, Resources: jobs.Resources{CPU: cpu, MemoryMB: 10}, Estimate: time.Second}
 }
@@ -305,7 +310,7 @@
 	first.submit("a", oneStep(1, 100))
 	first.pass()
 	failed := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseFailed}
-	first.looked(w, workers.Look{Target: first.target(w)}, first.clock, workers.Inventory{Born: 1, Ended: []workers.End{failed}}, nil)
+	first.lists(w, failed)
 	first.pass()
 
 	second := newRig(t, table)
@@ -314,7 +319,7 @@
 	}
 	// The end is listed again, since the first term did not let the worker forget it.
 	w = second.addWorker("w", 1000)
-	second.looked(w, workers.Look{Target: second.target(w)}, second.clock, workers.Inventory{Born: 1, Ended: []workers.End{failed}}, nil)
+	second.lists(w, failed)
 	if got := second.findTask(failed.Task).failures; got != 1 {
 		t.Errorf("%d failures counted", got)
 	}
@@ -411,7 +416,7 @@
 	r.submit("a", oneStep(2, 100))
 	r.pass()
 	ended := workers.End{Number: 7, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone}
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{ended}}, nil)
+	r.lists(w, ended)
 	r.pass()
 	before := r.target(w)
 	r.lookFailed(w, before, r.clock, &workers.UnreachableError{Worker: w.id()})
@@ -473,7 +478,7 @@
 	excerpt := store.Row{Key: store.JobKey("a"), Value: jobs.Encode(j.spec), Version: j.stateVersion}
 	r.pass()
 	ended := workers.End{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: workers.CauseDone}
-	r.looked(w, workers.Look{Target: r.target(w)}, r.clock, workers.Inventory{Born: 1, Ended: []workers.End{ended}}, nil)
+	r.lists(w, ended)
 	r.pass()
 	if r.jobs["a"] != nil {
 		t.Fatal("the job has not ended")
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -242,7 +242,7 @@
 	}
 	started := time.Now()
 	for {
-		rows, err := s.table.Range(ctx, store.TableStates, string(id), string(id)+"\x00", 1)
+		rows, err := store.ReadRow(ctx, s.table, store.StateKey(string(id)))
 		if err == nil {
 			return s.decodeState(id, rows)
 		}
@@ -344,7 +344,7 @@
 	defer w.mu.Unlock()
 	if time.Since(w.read) >= countAge {
 		started := time.Now()
-		rows, err := s.table.Range(ctx, store.CountsKey.Table, store.CountsKey.Name, store.CountsKey.Name+"\x00", 1)
+		rows, err := store.ReadRow(ctx, s.table, store.CountsKey)
 		if err != nil {
 			return nil, false
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"strings"
 	"time"
 
 	"bronzehook/platform/platformtest"
@@ -16,7 +15,7 @@
 	done := make(map[string]map[string]bool)
 	for _, f := range s.fleet.Finishes() {
 		if f.How == "done" {
-			id := strings.SplitN(f.Task, ".", 2)[0]
+			id := jobOf(f.Task)
 			if done[id] == nil {
 				done[id] = make(map[string]bool)
 			}
@@ -24,7 +23,7 @@
 		}
 	}
 	for _, start := range s.fleet.Starts() {
-		started[strings.SplitN(start.Task, ".", 2)[0]] = true
+		started[jobOf(start.Task)] = true
 	}
 	s.checkOrder()
 	s.callers.check(started, done)
@@ -36,7 +35,7 @@
 	at := make(map[string]int)
 	for _, w := range s.fleet.Workers() {
 		for _, task := range w.RunningTasks() {
-			at[strings.SplitN(task, ".", 2)[0]]++
+			at[jobOf(task)]++
 		}
 	}
 	s.callers.mu.Lock()
@@ -51,7 +50,7 @@
 		}
 	}
 	for _, start := range s.fleet.Starts() {
-		id := strings.SplitN(start.Task, ".", 2)[0]
+		id := jobOf(start.Task)
 		cancelled, ok := s.callers.cancelled[id]
 		if limit := cancelled.Add(stopTime); ok && start.At.After(limit) && start.At.After(healed.Add(stopTime)) {
 			s.t.Errorf("unasked: %s started %v after its job was cancelled", start.Task, start.At.Sub(cancelled))
@@ -63,13 +62,13 @@
 func (s *site) checkOrder() {
 	last := make(map[string]time.Time)
 	for _, f := range s.fleet.Finishes() {
-		id := strings.SplitN(f.Task, ".", 2)[0]
+		id := jobOf(f.Task)
 		if f.How == "done" && platformtest.StepOf(f.Task) == 0 && last[id].IsZero() {
 			last[id] = f.At
 		}
 	}
 	for _, start := range s.fleet.Starts() {
-		id := strings.SplitN(start.Task, ".", 2)[0]
+		id := jobOf(start.Task)
 		if platformtest.StepOf(start.Task) == 1 && (last[id].IsZero() || start.At.Before(last[id])) {
 			s.t.Errorf("order: %s started before its first step was done", start.Task)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bronzehook/platform/platformtest"
+	"bronzehook/store"
 )
 
 var (
@@ -246,7 +247,7 @@
 func behaviour(seed int64) platformtest.Behaviour {
 	return platformtest.Behaviour{
 		Duration: func(task string) time.Duration {
-			if lasts(strings.SplitN(task, ".", 2)[0]) {
+			if lasts(jobOf(task)) {
 				return 0
 			}
 			return time.Duration(200+hash(seed, task)%700) * time.Millisecond
@@ -255,6 +256,12 @@
 	}
 }
 
+// jobOf returns the job of a task, by their names.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 // number returns the number of a job, which its ID states.
 func number(id string) int64 {
 	n, err := strconv.ParseInt(id, 16, 64)
@@ -332,7 +339,7 @@
 	share := 2 + s.random.Intn(4)
 	shift := time.Duration(s.random.Intn(8000)-4000) * time.Millisecond
 	herd := s.random.Perm(len(s.instances))[:1+s.random.Intn(len(s.instances))]
-	part := "jobs-" + strconv.Itoa(s.random.Intn(12))
+	part := "jobs-" + strconv.Itoa(s.random.Intn(store.Groups))
 	choices := []func(){
 		func() { i.restart(s.t, syscall.SIGKILL) },
 		func() { i.restart(s.t, syscall.SIGTERM) },
--- a/store/store.go
+++ b/store/store.go
@@ -200,12 +200,17 @@
 
 // Spread reports whether the rows of a table are in different groups.
 func Spread(table string) bool {
-	return table == TableStates || table == TableIntake || table == TablePending
+	return Key{Table: table}.Group() != NoGroup
 }
 
 // PageSize is the number of rows that List asks for at once.
 const PageSize = 500
 
+// ReadRow reads one row. The result has no rows if it is absent.
+func ReadRow(ctx context.Context, table Table, key Key) (Changes, error) {
+	return table.Range(ctx, key.Table, key.Name, key.Name+"\x00", 1)
+}
+
 // List reads all rows of a table. Version is that of the first page, so that a Watch from there misses nothing.
 func List(ctx context.Context, table Table, name, from, to string) (Changes, error) {
 	var all Changes
