--- a/store/store.go
+++ b/store/store.go
@@ -65,6 +65,8 @@
 	Version uint64
 	// More says that rows behind the last one were left out.
 	More bool
+	// Clock is the store's steady clock as the excerpt was made; 0 if it isn't told.
+	Clock time.Duration
 }
 
 // Table is the store.
@@ -127,6 +129,8 @@
 	TablePending = "pending"
 	// TableCounts holds one row with the number of jobs of each queue of which no task has started.
 	TableCounts = "counts"
+	// TableExperience holds one row with what the duty holder has learned about images.
+	TableExperience = "experience"
 	// TableDuty holds the row of the duty.
 	TableDuty = "duty"
 	// TableMembers holds a row for each instance that may take the duty.
@@ -174,6 +178,9 @@
 // CountsKey names the row of TableCounts.
 var CountsKey = Key{TableCounts, "pending"}
 
+// ExperienceKey names the row of TableExperience.
+var ExperienceKey = Key{TableExperience, "images"}
+
 // PendingRange returns the bounds of the names in TablePending of a queue.
 func PendingRange(queue string) (from, to string) { return queue + "/", queue + "0" }
 
@@ -211,11 +218,20 @@
 	return table.Range(ctx, key.Table, key.Name, key.Name+"\x00", 1)
 }
 
-// List reads all rows of a table. Version is that of the first page, so that a Watch from there misses nothing.
+// leastPageSize is the number of rows that List asks for at the least.
+const leastPageSize = 30
+
+// List reads all rows of a table. Version is that of the first page, so that a Watch from there misses nothing. A page that could
+// not be read is asked for again with half as many rows: over a slow link a large one does not arrive in time.
 func List(ctx context.Context, table Table, name, from, to string) (Changes, error) {
 	var all Changes
+	size := PageSize
 	for {
-		page, err := table.Range(ctx, name, from, to, PageSize)
+		page, err := table.Range(ctx, name, from, to, size)
+		if err != nil && size > leastPageSize && ctx.Err() == nil {
+			size /= 2
+			continue
+		}
 		if err != nil {
 			return Changes{}, err
 		}
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -117,6 +117,8 @@
 	SeenUpTo int64
 	// Wait lets the worker hold its answer until an attempt ends.
 	Wait time.Duration
+	// Slack is added to the time-out of the call by a caller that is slow itself.
+	Slack time.Duration
 }
 
 // Client gives orders to workers. Failures are *RefusedError if the worker answered and did nothing, else CallErrors
