Give each case of the test of last answers time of its own

Cause: TestRequestsAreAnsweredBeforeTheProcessEnds went over a map, and both cases shared one moment up to which answers are possible. If the slow request came first, that moment had passed before the quick one was sent, and 504 was right. Change: a node for each case. What is asserted is as it was, for both.

--- /dev/null
+++ b/entry/leaving_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Guards against a request that is cut off because the process ends while its call to a slow store is under way (soak seed 6001).
+func TestRequestsAreAnsweredBeforeTheProcessEnds(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})
+	for path, want := range map[string]int{"/quick": http.StatusAccepted, "/slow": http.StatusGatewayTimeout} {
+		// Each request has a node of its own: waiting for the slow one uses up the time in which answers are possible.
+		n := &node{}
+		n.lastAnswer.Store(time.Now().Add(100 * time.Millisecond).UnixNano())
+		n.leaving.Store(true)
+		got := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			n.markLast(handler).ServeHTTP(got, httptest.NewRequest(http.MethodDelete, path, nil))
+		}()
+		select {
+		case <-done:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%s: not answered", path)
+		}
+		if got.Code != want || got.Header().Get("Connection") != "close" {
+			t.Errorf("%s: status %d, connection %q", path, got.Code, got.Header().Get("Connection"))
+		}
+	}
+}
