Generate the same traces on every architecture

Cause: TestRecordedTracesComeFromTheGenerator failed on arm64, to which this machine belongs: the compiler fuses x*y+z into one operation there, which rounds once instead of twice, so that numbers of all 16 traces differ in their last digit. Ruled out: another version of Go or of the random source (integers are equal), math.Exp, Log and Sin (traces are equal without a change of these). Change: products that are added to something are converted explicitly, which forbids the fusion by the language's definition.

--- a/replay/generate.go
+++ b/replay/generate.go
@@ -69,7 +69,11 @@
 
 func (g *generator) add(e Event) { g.events = append(g.events, e) }
 
-func (g *generator) between(low, high float64) float64 { return low + g.rng.Float64()*(high-low) }
+// between draws a number. The conversions of products here and below keep compilers from fusing them with a sum, which some
+// architectures do: the same seed gives the same trace on all of them.
+func (g *generator) between(low, high float64) float64 {
+	return low + float64(g.rng.Float64()*(high-low))
+}
 
 func (g *generator) teams() {
 	total := g.site.Capacity.MilliCPU * int64(g.site.Workers)
@@ -110,7 +114,7 @@
 		g.add(Event{Kind: EventWork, Work: spec.Name, Spec: g.declare(&spec, truth), Truth: truth})
 		phase := g.between(0, 2*math.Pi)
 		for at := 0; at < traceSeconds; at += rateInterval {
-			swing := 1 + 0.35*math.Sin(phase+2*math.Pi*float64(at)/ratePeriod)
+			swing := 1 + float64(0.35*math.Sin(phase+2*math.Pi*float64(at)/ratePeriod))
 			rate := 40 * float64(spec.Replicas) * swing * g.between(0.95, 1.05)
 			g.add(Event{At: at, Kind: EventRate, Work: spec.Name, Rate: math.Round(rate)})
 		}
@@ -203,7 +207,7 @@
 			slack = g.between(4, 7)
 		}
 		g.run(g.rng.IntN(lastArrival), spec, parts, slack, false)
-		budget -= float64(parts) * float64(truth.Use.MilliCPU) * truth.RunSeconds
+		budget -= float64(float64(parts) * float64(truth.Use.MilliCPU) * truth.RunSeconds)
 	}
 }
 
@@ -214,7 +218,7 @@
 		spec := families[g.rng.IntN(len(families))]
 		parts := 4 + g.rng.IntN(6)
 		g.run(at+g.rng.IntN(20), spec, parts, slack*g.between(0.9, 1.3), flood)
-		budget -= float64(parts) * float64(g.truths[spec.Name].Use.MilliCPU)
+		budget -= float64(float64(parts) * float64(g.truths[spec.Name].Use.MilliCPU))
 	}
 }
 
