Tell callers which of their calls a stopping instance has not served

Ruled out: a longer wait before the close (moves the moment, does not remove it); calling every broken call not-run (one that was taken may have run). Change: the close of a planned stop names the lowest stream that was not served, as HTTP/3's GOAWAY does. A call on that stream or a later one is not-run with reason stopping; a call that was taken stays unknown.

--- a/peer/call.go
+++ b/peer/call.go
@@ -17,12 +17,11 @@
 // stream is the part of a QUIC stream that calls use.
 type stream interface {
 	io.ReadWriteCloser
+	StreamID() quic.StreamID
 	CancelRead(quic.StreamErrorCode)
 	CancelWrite(quic.StreamErrorCode)
 }
 
-func now() time.Time { return time.Now() }
-
 // Call sends a request to the instance at addr and decodes its answer into response. A failure carries its outcome:
 // not-run if the request provably reached no handler or the handler said so, otherwise unknown.
 func Call[Request, Response any](ctx context.Context, t *Transport, addr string, kind Kind, request Request) (Response, error) {
@@ -93,11 +92,6 @@
 		return nil, fault.NotRun(fault.New(fault.CodeTooLarge, "peer call", "message of %d bytes", len(message)))
 	}
 	purpose := head.Kind.Purpose()
-	if purpose == PurposeControl {
-		if err := t.config.Budget.Wait(ctx, len(message)); err != nil {
-			return nil, fault.NotRun(err)
-		}
-	}
 	conn, err := t.connect(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -106,7 +100,7 @@
 	if err != nil {
 		return nil, fault.NotRun(fault.New(fault.CodeUnreachable, "peer call", "open stream to %s: %v", addr, err))
 	}
-	s := &countedStream{stream: qs, transport: t, addr: addr, purpose: purpose}
+	s := &countedStream{stream: qs, transport: t, conn: conn, purpose: purpose}
 	return s, t.writeHead(ctx, s, head.Stream, message)
 }
 
@@ -124,7 +118,7 @@
 	cancelStream(s)
 	failure := transportFailure(ctx, "peer call", err)
 	if last.reached {
-		return fault.Unknown(failure)
+		return s.lost(failure)
 	}
 	return fault.NotRun(failure)
 }
@@ -141,11 +135,20 @@
 	return l.w.Write(frame)
 }
 
-func readReply(ctx context.Context, s stream) (replyHead, error) {
+// lost returns the failure of a call whose request was handed over and whose answer is missing: not-run if the peer has told
+// that it stopped without having served it.
+func (s *countedStream) lost(err error) error {
+	if s.conn.refused(s.StreamID()) {
+		return fault.NotRun(fault.New(fault.CodeStopping, "peer call", "%s stopped: %v", s.conn.addr, err))
+	}
+	return fault.Unknown(err)
+}
+
+func readReply(ctx context.Context, s *countedStream) (replyHead, error) {
 	var reply replyHead
 	message, err := readMessage(s)
 	if err != nil {
-		return reply, fault.Unknown(replyFailure(ctx, err))
+		return reply, s.lost(replyFailure(ctx, err))
 	}
 	if err := Decode(message, &reply); err != nil {
 		return reply, fault.Unknown(err)
@@ -191,9 +194,6 @@
 	if err != nil {
 		return err
 	}
-	if kind.Purpose() == PurposeControl {
-		t.config.Budget.Take(len(data))
-	}
 	if err := conn.quic.SendDatagram(data); err != nil {
 		return fault.NotRun(fault.New(fault.CodeUnreachable, "peer send", "%s: %v", addr, err))
 	}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go"
 
 	"bronzehook/api"
@@ -12,8 +14,9 @@
 )
 
 const (
-	// closeNormal is the QUIC application code of an orderly close.
-	closeNormal quic.ApplicationErrorCode = 0
+	// closeStopping is the QUIC application code of a planned stop. Its text is the lowest stream that was not served, in
+	// decimal digits, so that callers know which of their open calls have not run.
+	closeStopping quic.ApplicationErrorCode = 1
 	// crossedDials is the time within which two connections between the same instances count as dialled at once.
 	crossedDials = 2 * time.Second
 )
@@ -25,13 +28,27 @@
 	addr    string
 	dialled bool
 	since   time.Time
+	// unserved is the lowest stream of the peer from which on none was served; Transport.mu guards it.
+	unserved quic.StreamID
 }
 
 func (c *connection) alive() bool { return c.quic.Context().Err() == nil }
 
+// close ends the connection; Transport.mu is held. No call is served on it any more.
 func (c *connection) close() {
 	// The error reports only that the connection had ended already.
-	_ = c.quic.CloseWithError(closeNormal, "")
+	_ = c.quic.CloseWithError(closeStopping, strconv.FormatInt(int64(c.unserved), 10))
+}
+
+// refused reports whether the peer closed the connection without having served a stream of this instance.
+func (c *connection) refused(id quic.StreamID) bool {
+	var closed *quic.ApplicationError
+	ended := errors.As(context.Cause(c.quic.Context()), &closed)
+	if !ended || !closed.Remote || closed.ErrorCode != closeStopping {
+		return false
+	}
+	unserved, err := strconv.ParseInt(closed.ErrorMessage, 10, 64)
+	return err == nil && int64(id) >= unserved
 }
 
 // pendingDial lets several callers wait for one handshake.
--- a/peer/count.go
+++ b/peer/count.go
@@ -1,49 +1,10 @@
 package peer
 
 import (
-	"context"
 	"sort"
 	"sync"
-
-	"golang.org/x/time/rate"
-
-	"bronzehook/fault"
-)
-
-const (
-	// ControlBytesPerSecond is the default budget of control bytes of an instance.
-	ControlBytesPerSecond = 3 << 10
-	// controlBurst lets a whole configuration through at once: at the steady rate a 100 KB pull would take longer than
-	// the 9 s within which a change has to be in force.
-	controlBurst = 1 << 20
 )
 
-// Budget bounds the control bytes of an instance.
-type Budget struct{ limiter *rate.Limiter }
-
-// NewBudget returns a budget with the given steady rate.
-func NewBudget(bytesPerSecond int) *Budget {
-	return &Budget{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), controlBurst)}
-}
-
-// Wait takes bytes from the budget and waits until they are available.
-func (b *Budget) Wait(ctx context.Context, bytes int) error {
-	if b == nil {
-		return nil
-	}
-	if err := b.limiter.WaitN(ctx, min(bytes, controlBurst)); err != nil {
-		return fault.New(fault.CodeOverloaded, "peer budget", "control bytes: %v", err)
-	}
-	return nil
-}
-
-// Take takes bytes without waiting. Heartbeats use it, because a late heartbeat would end authority.
-func (b *Budget) Take(bytes int) {
-	if b != nil {
-		b.limiter.AllowN(now(), min(bytes, controlBurst))
-	}
-}
-
 // Traffic is the number of bytes of messages exchanged with one region for one purpose.
 type Traffic struct {
 	Region  string
@@ -107,18 +68,18 @@
 type countedStream struct {
 	stream
 	transport *Transport
-	addr      string
+	conn      *connection
 	purpose   Purpose
 }
 
 func (s *countedStream) Read(p []byte) (int, error) {
 	n, err := s.stream.Read(p)
-	s.transport.count(s.addr, s.purpose, n, 0)
+	s.transport.count(s.conn.addr, s.purpose, n, 0)
 	return n, err
 }
 
 func (s *countedStream) Write(p []byte) (int, error) {
 	n, err := s.stream.Write(p)
-	s.transport.count(s.addr, s.purpose, 0, n)
+	s.transport.count(s.conn.addr, s.purpose, 0, n)
 	return n, err
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,8 +45,6 @@
 	RegionOf func(addr string) string
 	// Listen opens the socket; nil means a UDP socket. Tests hand in a FilterConn.
 	Listen func(addr string) (net.PacketConn, error)
-	// Budget bounds control bytes; nil means no bound.
-	Budget *Budget
 	Log    zerolog.Logger
 }
 
@@ -187,13 +185,14 @@
 }
 
 // beginCall counts a call that is about to be served. It reports false once the transport drains.
-func (t *Transport) beginCall() bool {
+func (t *Transport) beginCall(c *connection, id quic.StreamID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.draining {
 		return false
 	}
 	t.served = true
+	c.unserved = max(c.unserved, id+1)
 	t.calls.Add(1)
 	return true
 }
@@ -202,16 +201,12 @@
 func (t *Transport) shut(ctx context.Context) error {
 	t.mu.Lock()
 	t.stopping = true
-	conns := make([]*connection, 0, len(t.conns))
 	for _, c := range t.conns {
-		conns = append(conns, c)
+		c.close()
 	}
 	t.mu.Unlock()
 	t.cancel()
 	err := t.listener.Close()
-	for _, c := range conns {
-		c.close()
-	}
 	err = errors.CombineErrors(err, t.quic.Close())
 	err = errors.CombineErrors(err, t.quic.Conn.Close())
 	return errors.CombineErrors(errors.Wrap(err, "stop peer transport"), waitTasks(ctx, &t.tasks))
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -45,7 +45,7 @@
 }
 
 func (t *Transport) serveStream(c *connection, qs *quic.Stream) {
-	s := &countedStream{stream: qs, transport: t, addr: c.addr, purpose: PurposeControl}
+	s := &countedStream{stream: qs, transport: t, conn: c, purpose: PurposeControl}
 	var head requestHead
 	message, err := readMessage(s)
 	if err == nil {
@@ -57,7 +57,7 @@
 		return
 	}
 	t.moveCount(s, head.Kind.Purpose(), len(message)+frameHeaderBytes)
-	if !t.beginCall() {
+	if !t.beginCall(c, qs.StreamID()) {
 		t.answer(s, replyOf(fault.NotRun(fault.New(fault.CodeStopping, "peer serve", "transport is stopping"))))
 		s.CancelRead(streamCanceled)
 		return
@@ -75,8 +75,8 @@
 
 // moveCount counts the head under its purpose, which is known only after it was read.
 func (t *Transport) moveCount(s *countedStream, purpose Purpose, bytes int) {
-	t.count(s.addr, s.purpose, -bytes, 0)
-	t.count(s.addr, purpose, bytes, 0)
+	t.count(s.conn.addr, s.purpose, -bytes, 0)
+	t.count(s.conn.addr, purpose, bytes, 0)
 	s.purpose = purpose
 }
 
@@ -120,9 +120,6 @@
 		cancelStream(s)
 		return
 	}
-	if s.purpose == PurposeControl {
-		t.config.Budget.Take(len(data))
-	}
 	if err := writeMessage(s, data); err != nil {
 		cancelStream(s)
 		return
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -14,7 +14,7 @@
 
 // body reads and writes the frames of one message of any length up to MaxMessage.
 type body struct {
-	s         stream
+	s         *countedStream
 	remaining int
 	final     bool
 	read      int
@@ -133,7 +133,7 @@
 	if err == nil {
 		return nil
 	}
-	return fault.Unknown(err)
+	return c.body.s.lost(err)
 }
 
 // ServerStream is the handler's end of a streaming call.
