Accept fractions in the settings of entry instances, read and check all settings in one place

Change: these settings are floats; bounds are 32 MB, 1 s, 1 s and 1 s; package settings has Read, First and the checks that both use; addresses of an entry instance have to be IP addresses, as those of the other program. Before: three of the four new cases of TestSettingsFile red ("expected int"). After: green; tests of entry, settings and cmd pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,7 +49,7 @@
 // Run serves until a stop signal.
 func Run(s *Settings, logger zerolog.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryHeadroom * (1 << 20)))
+	debug.SetMemoryLimit(int64(s.MemoryLimit * memoryHeadroom * (1 << 20)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	reloads := newReloader(s.LogLevel, logger)
@@ -67,7 +67,7 @@
 		break
 	}
 	logger.Info().Msg("instance stopping")
-	node.drain(time.Duration(s.StopTimeout)*time.Second - killMargin)
+	node.drain(scaled(s.StopTimeout, time.Second) - killMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	err := node.kernel.Stop(ctx)
@@ -101,8 +101,8 @@
 			Table: table, Workers: measure.Workers(platform.NewWorkers(), registry), Manifest: current, WorkersTable: platform.WorkersTable,
 			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: wall.now, Logger: logger,
 			LeaseLength: s.LeaseLength(), FarFactor: s.FarFactor,
-			Retention: time.Duration(s.Retention) * time.Second, Metrics: execution.NewMetrics(registry),
-			Waves: waves, WaveStatus: platform.WaveStatus, MachineTurn: time.Duration(s.MachineTurn) * time.Millisecond,
+			Retention: scaled(s.Retention, time.Second), Metrics: execution.NewMetrics(registry),
+			Waves: waves, WaveStatus: platform.WaveStatus, MachineTurn: scaled(s.MachineTurn, time.Millisecond),
 		},
 	}
 	if s.MachinesAddr != "" {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,14 +5,11 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
-	"github.com/rs/zerolog"
 
 	"bronzehook/fault"
 	"bronzehook/settings"
@@ -34,14 +31,14 @@
 	AdviceAddr  string `long:"advice-addr" env:"BRONZEHOOK_ADVICE_ADDR" description:"IP address and port of the service that says which workers may run a step; empty if there is none"`
 	// MachinesAddr is that of the service that looks after the machines of workers.
 	MachinesAddr string  `long:"machines-addr" env:"BRONZEHOOK_MACHINES_ADDR" description:"IP address and port of the service that carries out maintenance of workers' machines; empty if there is none"`
-	CPUShare     float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, above 0"`
-	MemoryLimit  int     `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 64 to 65536"`
+	CPUShare     float64 `long:"cpu-share" env:"BRONZEHOOK_CPU_SHARE" default:"1" description:"share of a core that this instance may use, 0.001 to 1024"`
+	MemoryLimit  float64 `long:"memory-limit" env:"BRONZEHOOK_MEMORY_LIMIT" default:"256" description:"memory of this instance in MB, 32 to 65536"`
 
-	Lease       int     `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 3000 to 600000"`
-	StopTimeout int     `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 2 to 600"`
+	Lease       float64 `long:"lease-ms" env:"BRONZEHOOK_LEASE_MS" default:"10000" description:"longest lease that workers grant, in ms, 1000 to 600000; a change of the duty holder takes up to 4000"`
+	StopTimeout float64 `long:"stop-timeout-s" env:"BRONZEHOOK_STOP_TIMEOUT_S" default:"6" description:"time from a stop signal until the platform kills the process, in s, 1 to 600"`
 	FarFactor   float64 `long:"far-factor" env:"BRONZEHOOK_FAR_FACTOR" default:"2" description:"how many times as long a task takes far from its data, 1 to 100"`
-	Retention   int     `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 10 to 86400"`
-	MachineTurn int     `long:"machine-turn-ms" env:"BRONZEHOOK_MACHINE_TURN_MS" default:"3000" description:"time that has to pass between orders of two instances for one machine, in ms, 0 to 60000"`
+	Retention   float64 `long:"retention-s" env:"BRONZEHOOK_RETENTION_S" default:"120" description:"least time that the state of an ended job can be read, in s, 1 to 86400"`
+	MachineTurn float64 `long:"machine-turn-ms" env:"BRONZEHOOK_MACHINE_TURN_MS" default:"3000" description:"time that has to pass between orders of two instances for one machine, in ms, 0 to 60000"`
 	// TimeOffsetFile names a file with a shift of the time of day in ms. It is for tests of clocks that jump.
 	TimeOffsetFile string `long:"time-offset-file" env:"BRONZEHOOK_TIME_OFFSET_FILE" hidden:"true"`
 
@@ -50,7 +47,12 @@
 
 // LeaseLength is the lease that the duty holder orders.
 func (s *Settings) LeaseLength() time.Duration {
-	return min(maxLease, time.Duration(s.Lease)*time.Millisecond)
+	return min(maxLease, scaled(s.Lease, time.Millisecond))
+}
+
+// scaled returns a number of units, fractions included, as a duration.
+func scaled(number float64, unit time.Duration) time.Duration {
+	return time.Duration(number * float64(unit))
 }
 
 // maxLease bounds the time until work of a silent worker is started elsewhere. It has to outlast a change of the duty
@@ -63,18 +65,8 @@
 		return nil, err
 	}
 	s := &Settings{}
-	parser := flags.NewNamedParser("bronzehook entry", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Settings", "", s); err != nil {
-		return nil, errors.Wrap(err, "declaring settings")
-	}
-	if rest, err := parser.ParseArgs(args); err != nil {
-		var flagErr *flags.Error
-		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-			return nil, &settings.HelpError{Text: flagErr.Message}
-		}
-		return nil, errors.WithStack(&settings.InvalidError{Flag: "arguments", Value: strings.Join(args, " "), Accepted: err.Error()})
-	} else if len(rest) > 0 {
-		return nil, errors.WithStack(&settings.InvalidError{Flag: "arguments", Value: rest[0], Accepted: "flags only"})
+	if err := settings.Read("bronzehook entry", s, args); err != nil {
+		return nil, err
 	}
 	return s, s.validate()
 }
@@ -142,40 +134,12 @@
 }
 
 func (s *Settings) validate() error {
-	for _, text := range []struct{ flag, value string }{{"id", s.ID}, {"region", s.Region}, {"data-centre", s.DataCentre}} {
-		if text.value == "" {
-			return errors.WithStack(&settings.InvalidError{Flag: text.flag, Value: "", Accepted: "a name"})
-		}
-	}
-	for _, addr := range []struct{ flag, value string }{
-		{"caller-addr", s.CallerAddr}, {"ready-addr", s.ReadyAddr}, {"store-addr", s.StoreAddr},
-	} {
-		if _, _, err := net.SplitHostPort(addr.value); err != nil {
-			return errors.WithStack(&settings.InvalidError{Flag: addr.flag, Value: addr.value, Accepted: "IP address and port"})
-		}
-	}
-	for _, number := range []struct {
-		flag             string
-		value, low, high int
-	}{
-		{"memory-limit", s.MemoryLimit, 64, 65_536}, {"lease-ms", s.Lease, 3_000, 600_000},
-		{"stop-timeout-s", s.StopTimeout, 2, 600}, {"retention-s", s.Retention, 10, 86_400},
-		{"machine-turn-ms", s.MachineTurn, 0, 60_000},
-	} {
-		if number.value < number.low || number.value > number.high {
-			return errors.WithStack(&settings.InvalidError{
-				Flag: number.flag, Value: fmt.Sprint(number.value), Accepted: fmt.Sprintf("%d to %d", number.low, number.high),
-			})
-		}
-	}
-	if s.FarFactor < 1 || s.FarFactor > 100 {
-		return errors.WithStack(&settings.InvalidError{Flag: "far-factor", Value: fmt.Sprint(s.FarFactor), Accepted: "1 to 100"})
-	}
-	if s.CPUShare <= 0 {
-		return errors.WithStack(&settings.InvalidError{Flag: "cpu-share", Value: fmt.Sprint(s.CPUShare), Accepted: "above 0"})
-	}
-	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
-		return errors.WithStack(&settings.InvalidError{Flag: "log-level", Value: s.LogLevel, Accepted: "debug, info, warn or error"})
-	}
-	return nil
+	return settings.First(
+		settings.Required("id", s.ID), settings.Required("region", s.Region), settings.Required("data-centre", s.DataCentre),
+		settings.Address("caller-addr", s.CallerAddr), settings.Address("ready-addr", s.ReadyAddr), settings.Address("store-addr", s.StoreAddr),
+		settings.Between("cpu-share", s.CPUShare, 0.001, 1024), settings.Between("memory-limit", s.MemoryLimit, 32, 65_536),
+		settings.Between("lease-ms", s.Lease, 1_000, 600_000), settings.Between("stop-timeout-s", s.StopTimeout, 1, 600),
+		settings.Between("far-factor", s.FarFactor, 1, 100), settings.Between("retention-s", s.Retention, 1, 86_400),
+		settings.Between("machine-turn-ms", s.MachineTurn, 0, 60_000), settings.Level(s.LogLevel),
+	)
 }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -55,6 +55,10 @@
 		"level of the log not known":  {func(f string) string { return f + "BRONZEHOOK_LOG_LEVEL=loud\n" }, false},
 		"number left empty":           {func(f string) string { return f + "BRONZEHOOK_MACHINE_TURN_MS=\n" }, true},
 		"share of a core as fraction": {func(f string) string { return f + "BRONZEHOOK_CPU_SHARE=0.16\n" }, true},
+		"seconds as fraction":         {func(f string) string { return f + "BRONZEHOOK_STOP_TIMEOUT_S=2.5\nBRONZEHOOK_RETENTION_S=7.5\n" }, true},
+		"milliseconds as fraction":    {func(f string) string { return f + "BRONZEHOOK_LEASE_MS=4500.5\nBRONZEHOOK_MACHINE_TURN_MS=0.5\n" }, true},
+		"memory as fraction":          {func(f string) string { return f + "BRONZEHOOK_MEMORY_LIMIT=283.5\n" }, true},
+		"number that is none":         {func(f string) string { return f + "BRONZEHOOK_RETENTION_S=NaN\n" }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, err := parse(t, c.change(goodFile))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -11,10 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
-	"github.com/rs/zerolog"
-
-	"bronzehook/fault"
 )
 
 // Bounds of the memory limit in MB. An instance without work takes 14 MB.
@@ -61,41 +56,11 @@
 // renewals.
 const minHold = 3 * time.Second
 
-// InvalidError reports a setting that stops the start.
-type InvalidError struct {
-	Flag  string
-	Value string
-	// Accepted says in words what would be accepted.
-	Accepted string
-}
-
-// Error names the flag, its value and the accepted range.
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("--%s: value %q is not accepted; accepted: %s", e.Flag, e.Value, e.Accepted)
-}
-
-// Code implements fault.Coded.
-func (e *InvalidError) Code() fault.Code { return fault.CodeInvalid }
-
-// HelpError is returned when help was asked for; its text is the help page.
-type HelpError struct{ Text string }
-
-// Error returns the help page.
-func (e *HelpError) Error() string { return e.Text }
-
 // Parse reads the settings from arguments and the environment and checks them.
 func Parse(args []string) (*Settings, error) {
 	s := &Settings{}
-	parser := flags.NewNamedParser("bronzehook", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Settings", "", s); err != nil {
-		return nil, errors.Wrap(err, "declare settings")
-	}
-	rest, err := parser.ParseArgs(args)
-	if err != nil {
-		return nil, parseFailure(err)
-	}
-	if len(rest) > 0 {
-		return nil, errors.WithStack(&InvalidError{Flag: "", Value: rest[0], Accepted: "no arguments besides flags"})
+	if err := Read("bronzehook", s, args); err != nil {
+		return nil, err
 	}
 	if s.Dev {
 		s.applyDevDefaults()
@@ -103,17 +68,6 @@
 	return s, s.validate()
 }
 
-func parseFailure(err error) error {
-	var failure *flags.Error
-	if !errors.As(err, &failure) {
-		return errors.Wrap(err, "parse settings")
-	}
-	if failure.Type == flags.ErrHelp {
-		return &HelpError{Text: failure.Message}
-	}
-	return fault.New(fault.CodeInvalid, "parse settings", "%s", failure.Message)
-}
-
 func (s *Settings) applyDevDefaults() {
 	setDefault(&s.ID, "dev-1")
 	setDefault(&s.Region, "local")
@@ -131,38 +85,22 @@
 
 func (s *Settings) validate() error {
 	checks := []error{
-		required("id", s.ID), required("region", s.Region), required("data-centre", s.DataCentre),
+		Required("id", s.ID), Required("region", s.Region), Required("data-centre", s.DataCentre),
 		member("regions", s.Regions, s.Region),
-		address("caller-addr", s.CallerAddr), address("operator-addr", s.OperatorAddr), address("peer-addr", s.PeerAddr),
+		Address("caller-addr", s.CallerAddr), Address("operator-addr", s.OperatorAddr), Address("peer-addr", s.PeerAddr),
 		duration("stop-timeout", s.StopTimeout, time.Second, 10*time.Minute),
 		duration("hold", s.Hold, minHold, 5*time.Minute),
 		duration("task-lease", s.TaskLease, 3*time.Second, time.Hour),
-		memoryLimit(s.MemoryLimit), level(s.LogLevel),
+		memoryLimit(s.MemoryLimit), Level(s.LogLevel),
 		pair("caller-cert", s.CallerCert, "caller-key", s.CallerKey),
 		readable("caller-cert", s.CallerCert), readable("caller-key", s.CallerKey),
 	}
 	if !s.Dev {
-		checks = append(checks, required("platform-url", s.PlatformURL), required("operator-token", s.OperatorToken),
-			required("peer-cert", s.PeerCert), required("peer-key", s.PeerKey), required("peer-ca", s.PeerCA))
+		checks = append(checks, Required("platform-url", s.PlatformURL), Required("operator-token", s.OperatorToken),
+			Required("peer-cert", s.PeerCert), Required("peer-key", s.PeerKey), Required("peer-ca", s.PeerCA))
 	}
 	checks = append(checks, readable("peer-cert", s.PeerCert), readable("peer-key", s.PeerKey), readable("peer-ca", s.PeerCA))
-	for _, err := range checks {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func invalid(flag, value, accepted string) error {
-	return errors.WithStackDepth(&InvalidError{Flag: flag, Value: value, Accepted: accepted}, 1)
-}
-
-func required(flag, value string) error {
-	if value == "" {
-		return invalid(flag, value, "a text that is not empty")
-	}
-	return nil
+	return First(checks...)
 }
 
 func member(flag string, list []string, value string) error {
@@ -172,14 +110,6 @@
 	return nil
 }
 
-func address(flag, value string) error {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil || net.ParseIP(host) == nil {
-		return invalid(flag, value, "an IP address and a port, for example 127.0.0.1:8080")
-	}
-	return nil
-}
-
 func duration(flag string, value, low, high time.Duration) error {
 	if value < low || value > high {
 		return invalid(flag, value.String(), fmt.Sprintf("%s to %s", low, high))
@@ -195,13 +125,6 @@
 	return nil
 }
 
-func level(value string) error {
-	if _, err := zerolog.ParseLevel(value); err != nil || value == "" {
-		return invalid("log-level", value, "debug, info, warn or error")
-	}
-	return nil
-}
-
 func pair(flagA, valueA, flagB, valueB string) error {
 	if (valueA == "") == (valueB == "") {
 		return nil
