Give the processes of each test run a loopback host of their own

Instance n0 never started: 'listen tcp 127.0.0.1:34975: bind: address already in use'. Change: package loopback hands out addresses of a host in 127.64.0.0/10 that is named after the test's process, with ports below the range of the kernel's own choice. The sessions, which searched for free ports on 127.0.0.1 and could meet another test process that does the same, use it too.

--- a/session/fleet_test.go
+++ b/session/fleet_test.go
@@ -13,6 +13,7 @@
 	"bronzehook/backend/standin"
 	"bronzehook/ctl"
 	"bronzehook/fault"
+	"bronzehook/loopback"
 	"bronzehook/operator"
 	"bronzehook/peer"
 )
@@ -57,11 +58,10 @@
 		t.Fatal(err)
 	}
 	writeAuthority(t, filepath.Join(dir, "ca.pem"), authority)
-	ports := freePorts(t, 3*len(dataCentres))
-	for n, location := range dataCentres {
+	for _, location := range dataCentres {
 		id := location.DataCentre + "-1"
 		p := &process{id: id, location: location, log: filepath.Join(dir, id+".log"),
-			callerAddr: ports[3*n], operatorAddr: ports[3*n+1], peerAddr: ports[3*n+2]}
+			callerAddr: loopback.Addr(), operatorAddr: loopback.Addr(), peerAddr: loopback.Addr()}
 		f.site.Platform.Directory().PutInstance(api.Instance{ID: api.InstanceID(id), Addr: p.peerAddr, Location: location})
 		flags := f.flags(p, writeCertificate(t, dir, id, authority, filepath.Join(dir, "ca.pem")))
 		p.start(t, flags)
--- a/session/process_test.go
+++ b/session/process_test.go
@@ -3,15 +3,11 @@
 import (
 	"crypto/x509"
 	"encoding/pem"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -42,48 +38,6 @@
 	err   error
 }
 
-// The ports of instances lie below the range from which the kernel takes ports of its own choice, so that no connection
-// or stand-in takes one between its choice and the start of the instance.
-const (
-	firstPort = 15000
-	portCount = 15000
-)
-
-// portsTried counts the ports that were tried; a random beginning keeps test processes apart.
-var portsTried atomic.Uint32
-
-func init() { portsTried.Store(rand.Uint32N(portCount)) }
-
-// freePorts returns addresses whose ports are free for TCP and UDP, and are given to no other fleet of this process.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	var addrs []string
-	for range portCount {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+portsTried.Add(1)%portCount)
-		if isFree(addr) {
-			addrs = append(addrs, addr)
-		}
-		if len(addrs) == n {
-			return addrs
-		}
-	}
-	t.Fatalf("%d of %d ports found", len(addrs), n)
-	return nil
-}
-
-func isFree(addr string) bool {
-	tcp, err := net.Listen("tcp", addr)
-	if err != nil {
-		return false
-	}
-	defer tcp.Close()
-	udp, err := net.ListenPacket("udp", addr)
-	if err != nil {
-		return false
-	}
-	return udp.Close() == nil
-}
-
 // writeCertificate writes the files that the flags of a peer's certificate name, and returns these flags.
 func writeCertificate(t *testing.T, dir, id string, authority *peer.DevAuthority, caPath string) []string {
 	t.Helper()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bronzehook/loopback"
 	"bronzehook/platform/platformtest"
 	"bronzehook/store"
 )
@@ -202,16 +203,6 @@
 	strict   strict
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func newSite(t *testing.T, binary string, seed int64) *site {
 	t.Helper()
 	random := rand.New(rand.NewSource(seed))
@@ -262,7 +253,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		i := &instance{name: fmt.Sprintf("n%d", n), binary: binary, addr: freeAddr(t), ready: freeAddr(t), peers: freeAddr(t), store: p, log: log,
+		i := &instance{name: fmt.Sprintf("n%d", n), binary: binary, addr: loopback.Addr(), ready: loopback.Addr(), peers: loopback.Addr(), store: p, log: log,
 			machines: strings.TrimPrefix(maintenance.URL, "http://"),
 			offset:   filepath.Join(logs, fmt.Sprintf("n%d.offset", n))}
 		i.start(t)
