Give the duty up on a machine that has turned slow

Patience doubles with each change of the duty within 30 s. A slow instance takes a vacant duty later. Hand-overs moved to a file of their own; the line 'fleet' names the run delay.

--- a/duty/members.go
+++ b/duty/members.go
@@ -165,6 +165,22 @@
 	return standing
 }
 
+// HasSubstitute reports whether another of the registered instances carries the duty at least share times as well as the named one.
+func HasSubstitute(members []Member, name string, share float64) bool {
+	own := 0.0
+	for _, m := range members {
+		if m.Name == name {
+			own = m.fitness()
+		}
+	}
+	for _, m := range members {
+		if m.Name != name && m.fitness() >= share*own {
+			return true
+		}
+	}
+	return false
+}
+
 // request is the row by which an instance asks the holder of a term for the duty.
 type request struct {
 	_     struct{} `cbor:",toarray"`
--- a/entry/dutyservice.go
+++ b/entry/dutyservice.go
@@ -12,6 +12,7 @@
 	"bronzehook/execution"
 	"bronzehook/fault"
 	"bronzehook/logging"
+	"bronzehook/measure"
 	"bronzehook/store"
 )
 
@@ -21,6 +22,8 @@
 	maxHeadStart = 900 * time.Millisecond
 	// firstWait lets all instances register before the duty is taken for the first time.
 	firstWait = 700 * time.Millisecond
+	// slowPlace is that of an instance whose machine is slow at the moment.
+	slowPlace = 3
 	// unknownPlace is assumed by instances with less than smallShare of a core that can't read how others carry the duty.
 	unknownPlace = 3
 	smallShare   = 0.5
@@ -40,18 +43,6 @@
 	fewMembers   = 3
 )
 
-// Hand-over to an instance that carries the duty much better. Such an instance asks once a term has gone on for askAfter; a holder
-// with less than smallShare of a core looks every askedEvery whether one does, and takes no duty for yieldFor after it has
-// given one up.
-const (
-	askAfter   = 4 * time.Second
-	askStep    = time.Second
-	askedEvery = 2 * time.Second
-	yieldFor   = 5 * time.Second
-	// yieldHeadStart lets the instance that has asked see that the duty was released.
-	yieldHeadStart = 1500 * time.Millisecond
-)
-
 // releaseTimeout bounds the hand-over of the duty during a planned stop.
 const releaseTimeout = time.Second
 
@@ -61,8 +52,10 @@
 	roundTrip func() time.Duration
 	name      string
 	cpuShare  float64
-	peerAddr  string
-	options   execution.Options
+	// speed returns how fast this process computes as a share of the fastest that it has been.
+	speed    func() float64
+	peerAddr string
+	options  execution.Options
 	// noteMembers is told of the registered instances.
 	noteMembers func([]duty.Member)
 	logger      zerolog.Logger
@@ -77,6 +70,8 @@
 	// term and termSeen are the newest epoch of another holder and when it was first seen.
 	term     uint64
 	termSeen time.Time
+	// changes counts the changes of the duty that this instance has seen of late.
+	changes changes
 	// yieldUntil is until when other instances go first, after this one has given the duty up.
 	yieldUntil time.Time
 
@@ -115,6 +110,9 @@
 	registered := false
 	for ctx.Err() == nil {
 		seen, err := candidate.Observe(ctx)
+		if err == nil {
+			s.changes.note(seen.Row.Epoch, time.Now())
+		}
 		if err == nil && !registered {
 			registered = s.register(ctx)
 		}
@@ -168,22 +166,6 @@
 	s.standingUntil = now.Add(valid)
 }
 
-// askFor asks the holder for the duty if this instance carries it much better. The best of them asks first.
-func (s *dutyService) askFor(ctx context.Context, row *duty.Row) {
-	if row.Epoch != s.term {
-		s.term, s.termSeen = row.Epoch, time.Now()
-	}
-	wait := s.askAfter + time.Duration(s.standing.Place)*askStep
-	mayAsk := row.Holder != s.name && row.Holder == s.standingOf && s.standing.MuchBetter() && s.standing.Place < firstFew
-	if !mayAsk || time.Since(s.termSeen) < wait {
-		return
-	}
-	s.termSeen = time.Now()
-	err := duty.Ask(ctx, s.table, s.name, row.Epoch)
-	s.logger.Info().Uint64(logging.KeyEpoch, row.Epoch).Str("holder", row.Holder).Float64("own", s.standing.Own).
-		Float64("holders", s.standing.Holder).AnErr("error", err).Msg("duty asked for")
-}
-
 func (s *dutyService) register(ctx context.Context) bool {
 	err := duty.Register(ctx, s.table, duty.Member{Name: s.name, CPUShare: s.cpuShare, RoundTrip: s.roundTrip(), Addr: s.peerAddr})
 	if err != nil {
@@ -206,6 +188,9 @@
 	if err != nil && s.cpuShare < smallShare {
 		place = unknownPlace
 	}
+	if s.speed() < slowSpeed {
+		place = max(place, slowPlace)
+	}
 	if place == 0 && !yielding {
 		return true
 	}
@@ -235,11 +220,12 @@
 	}
 	s.logger.Info().Uint64(logging.KeyEpoch, holder.Epoch()).Str("from", seen.Row.Holder).
 		Bool("released", seen.Row.Released).Dur("unchanged", seen.Unchanged).Msg("duty claimed")
+	s.changes.note(holder.Epoch(), time.Now())
 	err = s.serve(ctx, holder)
 	s.logger.Warn().Uint64(logging.KeyEpoch, holder.Epoch()).AnErr("error", err).Msg("duty ended")
 }
 
-// serve runs a term. If it ends because this instance stops, or because another one carries the duty much better, the duty is
+// serve runs a term. If it ends because this instance stops, or because another one carries the duty better, the duty is
 // released.
 func (s *dutyService) serve(ctx context.Context, holder *duty.Holder) error {
 	term, give := context.WithCancel(ctx)
@@ -247,7 +233,10 @@
 	if s.cpuShare < smallShare {
 		go s.giveIfAsked(term, give, holder.Epoch())
 	}
-	err := execution.NewTerm(s.options, holder).Run(term)
+	options := s.options
+	options.RunDelay = measure.NewRunDelay().Mean
+	options.Overloaded = s.giveIfOverloaded(term, give, holder.Epoch())
+	err := execution.NewTerm(options, holder).Run(term)
 	if term.Err() == nil {
 		return err
 	}
@@ -256,17 +245,3 @@
 	defer cancel()
 	return holder.Release(released)
 }
-
-// giveIfAsked ends a term that an instance asks for which carries the duty much better.
-func (s *dutyService) giveIfAsked(ctx context.Context, give func(), epoch uint64) {
-	for ctx.Err() == nil {
-		duty.Sleep(ctx, s.askedEvery)
-		name, err := duty.AskedBy(ctx, s.table, epoch)
-		if err != nil || name == "" {
-			continue
-		}
-		s.logger.Info().Uint64(logging.KeyEpoch, epoch).Str("to", name).Msg("duty given up for a better instance")
-		give()
-		return
-	}
-}
--- a/entry/dutyservice_test.go
+++ b/entry/dutyservice_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -24,7 +26,7 @@
 	s := &dutyService{
 		noteMembers: func([]duty.Member) {},
 		table:       table, roundTrip: func() time.Duration { return time.Millisecond }, name: name, cpuShare: share,
-		logger: zerolog.Nop(), askAfter: 100 * time.Millisecond, askedEvery: 100 * time.Millisecond,
+		speed: func() float64 { return 1 }, logger: zerolog.Nop(), askAfter: 100 * time.Millisecond, askedEvery: 100 * time.Millisecond,
 		options: execution.Options{
 			Table: table, Manifest: current, WorkersTable: "workers", Clock: duty.BootTime, Now: time.Now, Logger: zerolog.Nop(),
 			ParseEntry: func(store.Row) (workers.Entry, bool) { return workers.Entry{}, false }, LeaseLength: time.Second,
@@ -74,3 +76,66 @@
 	startDuty(t, table, "large", 0.8)
 	waitForHolder(t, table, "large")
 }
+
+// Guards against a holder that keeps the duty while its processor is too slow for it.
+func TestOverloadedHolderGivesTheDutyToAnotherInstance(t *testing.T) {
+	cases := []struct {
+		name    string
+		changes int
+		speed   float64
+		other   float64
+		want    bool
+	}{
+		{name: "another instance is as large", speed: 0.2, other: 0.16, want: true},
+		{name: "the machine is as fast as ever", speed: 0.9, other: 0.16, want: false},
+		{name: "the only other one is much smaller", speed: 0.2, other: 0.05, want: false},
+		{name: "the duty has changed often of late", speed: 0.2, other: 0.16, changes: 5, want: false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := memory.New()
+			s := &dutyService{table: table, name: "late", cpuShare: 0.16, speed: func() float64 { return c.speed }, logger: zerolog.Nop()}
+			for name, share := range map[string]float64{"late": 0.16, "other": c.other} {
+				if err := duty.Register(context.Background(), table, duty.Member{Name: name, CPUShare: share}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for epoch := range c.changes {
+				s.changes.note(uint64(epoch+1), time.Now())
+			}
+			given := make(chan struct{})
+			overloaded := s.giveIfOverloaded(context.Background(), sync.OnceFunc(func() { close(given) }), 1)
+			got := false
+			for end := time.Now().Add(2500 * time.Millisecond); !got && time.Now().Before(end); {
+				overloaded(200 * time.Millisecond)
+				select {
+				case <-given:
+					got = true
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+			if got != c.want {
+				t.Errorf("given up: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a duty that is passed round where all instances are short of processor time.
+func TestPatienceGrowsWithChanges(t *testing.T) {
+	var c changes
+	now := time.Now()
+	var got []time.Duration
+	for epoch := range uint64(7) {
+		c.note(epoch+1, now)
+		c.note(epoch+1, now)
+		got = append(got, c.patience())
+	}
+	c.note(9, now.Add(changesSpan+time.Second))
+	got = append(got, c.patience())
+	want := []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 16 * time.Second, 16 * time.Second,
+		16 * time.Second, time.Second}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("patience after each change (-want +got):\n%s", diff)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,7 +96,8 @@
 	wall := &wallClock{path: s.TimeOffsetFile}
 	n := &node{logger: logger}
 	n.duty = &dutyService{
-		table: table, roundTrip: health.RoundTrip, name: s.ID, cpuShare: s.CPUShare, logger: logger, askAfter: askAfter, askedEvery: askedEvery,
+		table: table, roundTrip: health.RoundTrip, name: s.ID, cpuShare: s.CPUShare, speed: measure.NewSpeed().Share, logger: logger,
+		askAfter: askAfter, askedEvery: askedEvery,
 		options: execution.Options{
 			Table: table, Workers: measure.Workers(platform.NewWorkers(), registry), Manifest: current, WorkersTable: platform.WorkersTable,
 			ParseEntry: platform.ParseEntry, Clock: duty.BootTime, Now: wall.now, Logger: logger,
--- a/execution/stock.go
+++ b/execution/stock.go
@@ -49,7 +49,8 @@
 		Int("serving_workers", servingNodes).Int("filler_workers", fillerNodes).Int("free_cpu", free).
 		Int("leftover_cpu", leftover).Int("serving", serving).Int("fillers", fillers).Int("other", other).
 		Int("headroom", t.spread(t.urgent.missing())).Int("short_headroom", t.spread(t.short.missing())).
-		Int("holds", len(t.holds)).Interface("attempts", phases).Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).Msg("fleet")
+		Int("holds", len(t.holds)).Interface("attempts", phases).Interface("refusals", t.refusals).Dur("duty_age", t.holder.Age()).
+		Dur("run_delay", t.overload.delay).Msg("fleet")
 	clear(t.refusals)
 }
 
--- a/execution/term.go
+++ b/execution/term.go
@@ -45,6 +45,10 @@
 	WaveStatus func(wave int, finished bool) store.Put
 	// MachineTurn has to pass between orders of two holders of the duty for one machine.
 	MachineTurn time.Duration
+	// RunDelay returns the mean time that goroutines have waited for a processor since it was called last. Overloaded is told, twice
+	// a second, while that is long; it must not block. Both are nil where nobody wants to know.
+	RunDelay   func() time.Duration
+	Overloaded func(delay time.Duration)
 }
 
 // Timing of a term.
@@ -105,6 +109,7 @@
 	usable, capacity int
 	hedges           hedgeBudget
 	lag              lag
+	overload         overload
 	losses           losses
 	// troubled counts the workers that are closed to short tasks.
 	troubled int
@@ -199,7 +204,7 @@
 			t.drainEvents()
 			t.stale = true
 		case <-ticker.C:
-			t.lag.note(t.opts.Clock())
+			t.noteTick()
 		case <-soon.C:
 		}
 		if err := t.advance(); err != nil {
@@ -208,6 +213,13 @@
 	}
 }
 
+// noteTick takes up how late the term is, and how short of processor time.
+func (t *Term) noteTick() {
+	now := t.opts.Clock()
+	t.lag.note(now)
+	t.watchOverload(now)
+}
+
 // untilDue returns the time until a round, a pass of placement or a commit that was put off is due; 0 if none was. While the duty has
 // lapsed the ticker suffices.
 func (t *Term) untilDue() time.Duration {
--- /dev/null
+++ b/measure/rundelay_test.go
@@ -0,0 +1,55 @@
+package measure
+
+import (
+	"math"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against a mean that counts what was there before, or the open ends of the histogram.
+func TestMeanOfWhatAHistogramHasGained(t *testing.T) {
+	buckets := []float64{math.Inf(-1), 0, 0.002, 0.004, math.Inf(1)}
+	cases := []struct {
+		name           string
+		counts, before []uint64
+		want           float64
+	}{
+		{name: "nothing", counts: []uint64{0, 0, 0, 0}, want: 0},
+		{name: "first reading", counts: []uint64{0, 1, 1, 0}, want: 0.002},
+		{name: "only new values", counts: []uint64{0, 100, 3, 0}, before: []uint64{0, 100, 1, 0}, want: 0.003},
+		{name: "open end", counts: []uint64{0, 0, 0, 2}, want: 0.004},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := meanOf(c.counts, c.before, buckets); math.Abs(got-c.want) > 1e-9 {
+				t.Errorf("mean %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a runtime that does not measure what the reading relies on.
+func TestRunDelayGrowsWithoutProcessorTime(t *testing.T) {
+	const busyFor, bound = 300 * time.Millisecond, time.Millisecond
+	delay := NewRunDelay()
+	var all sync.WaitGroup
+	for range 16 * runtime.GOMAXPROCS(0) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for end := time.Now().Add(busyFor); time.Now().Before(end); {
+				runtime.Gosched()
+			}
+		}()
+	}
+	all.Wait()
+	if got := delay.Mean(); got <= 0 {
+		t.Errorf("mean delay %v, want more than nothing", got)
+	}
+	time.Sleep(10 * time.Millisecond)
+	if got := delay.Mean(); got > bound {
+		t.Errorf("mean delay %v of an idle process, want at most %v", got, bound)
+	}
+}
