Send calls to the store again whose answers are overdue

While the store carries out a third of the writes without an answer, a caller's submission and the holder's next commit wait for the time-out of 0.8 s each; orders wait for the commit, and the duty lapses after two in a row. Ruled out: a shorter time-out (a slow store would never answer in time; the commit would have to be built anew, and its jobs queued again); pipelining commits of the holder (each is conditional on the one before). Change: package store/hedge around the table sends a call again on another connection after three times what calls took of late and 60 ms, twice at the most, ten times a second at the most. Claims and commits of the duty carry a number of their own, so that a conflict with their own effect counts as success; a submission that finds its job was accepted before, as ever.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -105,6 +105,8 @@
 
 	observed   uint64
 	observedAt time.Duration
+	// claims counts the claims that were sent, so that the row tells which of them took effect.
+	claims uint64
 }
 
 // NewCandidate returns a candidate. The life has to differ from that of earlier processes of the same name.
@@ -180,19 +182,40 @@
 // recognised by the next observation as held by this life.
 func (c *Candidate) Take(ctx context.Context, seen Observation) (*Holder, error) {
 	asked := c.clock()
-	row := Row{Holder: c.name, Life: c.life, Epoch: seen.Row.Epoch + 1, Sent: seen.reading.latest(asked)}
+	c.claims++
+	row := Row{Holder: c.name, Life: c.life, Epoch: seen.Row.Epoch + 1, Renewals: c.claims, Sent: seen.reading.latest(asked)}
 	version, err := c.table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Version: seen.Version}},
 		Puts:       []store.Put{{Key: key, Value: row.encode()}},
 	})
+	if current, ok := row.tookEffect(err); ok {
+		// The answer is that to a copy of the call.
+		version, err = current, nil
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &Holder{
-		table: c.table, clock: c.clock, epoch: row.Epoch, row: row, version: version, taken: version, renewed: asked, reading: seen.reading,
+		table: c.table, clock: c.clock, epoch: row.Epoch, row: row, version: version, taken: version, renewed: asked, sent: row.Renewals,
+		reading: seen.reading,
 	}, nil
 }
 
+// tookEffect reports whether a conflict shows the row as it was to be written, and its version then.
+func (r *Row) tookEffect(err error) (version uint64, ok bool) {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return 0, false
+	}
+	current := conflict.Find(key)
+	var row Row
+	if current.Version == 0 || row.decode(current.Value) != nil {
+		return 0, false
+	}
+	same := row.Holder == r.Holder && row.Life == r.Life && row.Epoch == r.Epoch && row.Renewals == r.Renewals
+	return current.Version, same
+}
+
 // Holder commits on behalf of the duty. Commit is called from one goroutine at a time; the other methods from any.
 type Holder struct {
 	table store.Table
@@ -207,6 +230,8 @@
 	version uint64
 	renewed time.Duration
 	lost    bool
+	// sent counts the transactions that were sent, so that the row tells which of them took effect.
+	sent uint64
 	// abandoned stops orders, though the row may still be released.
 	abandoned bool
 }
@@ -269,8 +294,9 @@
 		h.mu.Unlock()
 		return 0, errors.WithStack(&LostError{})
 	}
+	h.sent++
 	row := h.row
-	row.Renewals++
+	row.Renewals = h.sent
 	row.Released = release
 	version := h.version
 	h.mu.Unlock()
@@ -282,12 +308,16 @@
 	newVersion, err := h.table.Commit(ctx, txn)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err == nil {
-		h.row, h.version, h.renewed = row, newVersion, asked
-		h.lost = h.lost || release
-		return newVersion, nil
+	if current, ok := row.tookEffect(err); ok {
+		// The answer is that to a copy of the call.
+		newVersion, err = current, nil
+	}
+	if err != nil {
+		return 0, h.resolve(err)
 	}
-	return 0, h.resolve(err)
+	h.row, h.version, h.renewed = row, newVersion, asked
+	h.lost = h.lost || release
+	return newVersion, nil
 }
 
 // resolve learns from a conflict whether the duty is lost or an earlier commit without an answer took effect.
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -130,6 +130,42 @@
 	}
 }
 
+// twiceTable carries each commit out twice and gives the answer to the second, as for a call that was repeated.
+type twiceTable struct{ *memory.Table }
+
+func (t twiceTable) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+	_, _ = t.Table.Commit(ctx, txn)
+	return t.Table.Commit(ctx, txn)
+}
+
+// Guards against a claim or commit that counts as failed, and is written again, because the answer came to a copy of it; and against
+// one that counts as done because an earlier one was.
+func TestConflictWithItsOwnEffectIsSuccess(t *testing.T) {
+	inner := memory.New()
+	clock := &fakeClock{now: time.Hour}
+	holder := take(t, duty.NewCandidate(twiceTable{inner}, clock.read, "a", 1))
+	key := store.Key{Table: "x", Name: "y"}
+	commit := func(value string) error {
+		_, err := holder.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+		return err
+	}
+	clock.now += duty.Validity / 2
+	if err := commit("one"); err != nil || holder.Age() != 0 {
+		t.Fatalf("commit that was carried out: %v, age %v", err, holder.Age())
+	}
+	inner.SetMode(memory.ModeLost)
+	if err := commit("two"); fault.CodeOf(err) != fault.CodeOutcomeUnknown {
+		t.Fatalf("commit without an answer: %v", err)
+	}
+	inner.SetMode(memory.ModeNone)
+	if err := commit("three"); fault.CodeOf(err) != fault.CodeConflict {
+		t.Errorf("commit after one that took effect without an answer: %v", err)
+	}
+	if got := string(inner.Value(key)); got != "two" {
+		t.Errorf("the row holds %q, want \"two\"", got)
+	}
+}
+
 // Guards against a hand-over that waits for a lapse although the holder has stopped in an orderly way.
 func TestReleasedDutyIsVacantAtOnce(t *testing.T) {
 	table := memory.New()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"bronzehook/platform"
 	"bronzehook/relay"
 	"bronzehook/response"
+	"bronzehook/store/hedge"
 )
 
 // Timing of a planned stop. The platform sends new connections for up to 2 s after the first miss.
@@ -90,7 +91,7 @@
 	registry := prometheus.NewRegistry()
 	platformStore := platform.NewStore(s.StoreAddr)
 	health := platformStore.Health()
-	table := measure.Table(platformStore, registry)
+	table := hedge.New(measure.Table(platformStore, registry), registry)
 	current := &manifest.Holder{}
 	waves := &maintenance.Board{}
 	wall := &wallClock{path: s.TimeOffsetFile}
