State in the duty's row how long it is valid; repeat a call at once only where its answer is lost

A successor waited 2.1 s for any holder, as if the store were slow, and read the row every 0.45 s. Change: the row states its validity, 0.6 s and three times what renewals took, between 0.8 s and 1.6 s; successors wait 0.4 s more. Renewals every 0.25 s, readings every 0.3 s. A holder that lapsed states the longest validity. Rows with fewer or more fields are read. A copy is sent at once only if a call that was sent later has been answered. TestValidityFollowsWhatRenewalsTake, TestShorterValidityHoldsFromTheCallOn, TestRowOfAnotherVersionIsRead; the test of held fillers renews the duty between its looks, since a term gives no orders without.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -15,25 +15,32 @@
 
 // Timing of the duty.
 const (
-	// Validity is how long a holder may act after it sent its last successful renewal.
-	Validity = 1600 * time.Millisecond
-	// Patience is how long the row has to stay unchanged before another instance may take over. It exceeds Validity by
-	// the time that an order needs to leave the holder's machine.
-	Patience = 2100 * time.Millisecond
-	// SlowPatience holds while the store is slow: then a renewal takes longer, and so does a change of the holder.
-	SlowPatience = 3100 * time.Millisecond
+	// MinValidity and MaxValidity bound how long a holder may act after it sent its last successful renewal. The row says how long
+	// that is: a few times what renewals took of late, so that a holder is replaced soon while the store is quick, and not over a
+	// late answer while it is slow.
+	MinValidity    = 800 * time.Millisecond
+	MaxValidity    = 1600 * time.Millisecond
+	validityFactor = 3
+	validityMargin = 600 * time.Millisecond
+	// latencyDecay is what is left of the duration of a slow renewal with each one that is faster.
+	latencyDecay = 0.7
+	// Patience is how much longer than its validity the row has to stay unchanged before another instance may take over: the time
+	// that an order needs to leave the holder's machine. SlowPatience holds while the store is slow: then a change of the holder
+	// takes longer, too.
+	Patience     = 400 * time.Millisecond
+	SlowPatience = 1500 * time.Millisecond
 	// slowRead is the duration of a read from which the store counts as slow.
 	slowRead = 120 * time.Millisecond
 	// RenewEvery is the longest time between two renewals.
-	RenewEvery = 700 * time.Millisecond
+	RenewEvery = 250 * time.Millisecond
 	// PollEvery is the time between two reads of the row by an instance that does not hold the duty.
-	PollEvery = 450 * time.Millisecond
+	PollEvery = 300 * time.Millisecond
 )
 
 // key is the row of the duty.
 var key = store.Key{Table: store.TableDuty, Name: "scheduler"}
 
-// Row is the content of the duty's row.
+// Row is the content of the duty's row. Later versions add fields at its end.
 type Row struct {
 	_      struct{} `cbor:",toarray"`
 	Holder string
@@ -46,33 +53,47 @@
 	Renewals uint64
 	// Sent is when the renewal was sent, in ms of the store's steady clock and never earlier than that; 0 if it isn't known.
 	Sent int64
+	// Valid is how long the holder may act after that, in ms; 0 stands for MaxValidity.
+	Valid int64
 }
 
-// earlierRow is the row as earlier versions of this program write it.
-type earlierRow struct {
-	_        struct{} `cbor:",toarray"`
-	Holder   string
-	Life     int64
-	Epoch    uint64
-	Released bool
-	Renewals uint64
-}
+// leastFields is the number of fields of the row as the first version wrote it.
+const leastFields = 5
 
+// decode reads a row, also one of a version that had fewer fields or has more.
 func (r *Row) decode(encoded []byte) error {
-	err := cbor.Unmarshal(encoded, r)
-	if err == nil {
-		return nil
+	var fields []cbor.RawMessage
+	if err := cbor.Unmarshal(encoded, &fields); err != nil {
+		return errors.Wrap(err, "decoding the duty")
 	}
-	var earlier earlierRow
-	if cbor.Unmarshal(encoded, &earlier) != nil {
-		return err
+	if len(fields) < leastFields {
+		return errors.WithStack(&LostError{Holder: "unreadable row"})
 	}
-	*r = Row{
-		Holder: earlier.Holder, Life: earlier.Life, Epoch: earlier.Epoch, Released: earlier.Released, Renewals: earlier.Renewals,
+	*r = Row{}
+	for i, field := range []any{&r.Holder, &r.Life, &r.Epoch, &r.Released, &r.Renewals, &r.Sent, &r.Valid} {
+		if i == len(fields) {
+			break
+		}
+		if err := cbor.Unmarshal(fields[i], field); err != nil {
+			return errors.Wrap(err, "decoding the duty")
+		}
 	}
 	return nil
 }
 
+// validity is how long the holder may act after the renewal.
+func (r *Row) validity() time.Duration {
+	if r.Valid <= 0 {
+		return MaxValidity
+	}
+	return time.Duration(r.Valid) * time.Millisecond
+}
+
+// validityFor returns the validity to state while renewals take a time, in ms.
+func validityFor(latency time.Duration) int64 {
+	return max(MinValidity, min(MaxValidity, validityFactor*latency+validityMargin)).Milliseconds()
+}
+
 func (r *Row) encode() []byte {
 	encoded, err := cbor.Marshal(r)
 	if err != nil {
@@ -122,7 +143,8 @@
 	Unchanged time.Duration
 	// reading ties the store's clock to the instance's.
 	reading reading
-	// Slow says that the read took long.
+	// took is the duration of the read, Slow says that it was long.
+	took time.Duration
 	Slow bool
 }
 
@@ -160,7 +182,8 @@
 		// An instance that could not read the row for a while, or has just started, need not watch it first.
 		seen.Unchanged = max(seen.Unchanged, rows.Clock-time.Duration(seen.Row.Sent)*time.Millisecond)
 	}
-	seen.Slow = c.clock()-asked > slowRead
+	seen.took = c.clock() - asked
+	seen.Slow = seen.took > slowRead
 	return seen, nil
 }
 
@@ -173,9 +196,9 @@
 	case seen.Row.Holder == c.name:
 		return true
 	case seen.Slow:
-		return seen.Unchanged >= SlowPatience
+		return seen.Unchanged >= seen.Row.validity()+SlowPatience
 	}
-	return seen.Unchanged >= Patience
+	return seen.Unchanged >= seen.Row.validity()+Patience
 }
 
 // Take claims the duty as observed. A failure leaves the duty with whoever has it; a claim whose outcome is unknown is
@@ -183,7 +206,8 @@
 func (c *Candidate) Take(ctx context.Context, seen Observation) (*Holder, error) {
 	asked := c.clock()
 	c.claims++
-	row := Row{Holder: c.name, Life: c.life, Epoch: seen.Row.Epoch + 1, Renewals: c.claims, Sent: seen.reading.latest(asked)}
+	row := Row{Holder: c.name, Life: c.life, Epoch: seen.Row.Epoch + 1, Renewals: c.claims}
+	row.Sent, row.Valid = seen.reading.latest(asked), validityFor(seen.took)
 	version, err := c.table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Version: seen.Version}},
 		Puts:       []store.Put{{Key: key, Value: row.encode()}},
@@ -197,7 +221,7 @@
 	}
 	return &Holder{
 		table: c.table, clock: c.clock, epoch: row.Epoch, row: row, version: version, taken: version, renewed: asked, sent: row.Renewals,
-		reading: seen.reading,
+		reading: seen.reading, valid: row.validity(), latency: seen.took,
 	}, nil
 }
 
@@ -230,6 +254,8 @@
 	version uint64
 	renewed time.Duration
 	lost    bool
+	// valid is how long orders may be given after renewed, latency what renewals took of late.
+	valid, latency time.Duration
 	// sent counts the transactions that were sent, so that the row tells which of them took effect.
 	sent uint64
 	// abandoned stops orders, though the row may still be released.
@@ -260,7 +286,7 @@
 func (h *Holder) Valid() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.lost && !h.abandoned && h.clock()-h.renewed < Validity
+	return !h.lost && !h.abandoned && h.clock()-h.renewed < h.valid
 }
 
 // Abandon ends the term without a call to the store. Orders that check Valid are not given any more.
@@ -297,7 +323,13 @@
 	h.sent++
 	row := h.row
 	row.Renewals = h.sent
-	row.Released = release
+	row.Released, row.Valid = release, validityFor(h.latency)
+	if h.clock()-h.renewed >= h.valid {
+		// Renewals take longer than what is known of them.
+		row.Valid = MaxValidity.Milliseconds()
+	}
+	// A renewal that shortens the validity may take effect without an answer.
+	h.valid = min(h.valid, row.validity())
 	version := h.version
 	h.mu.Unlock()
 	asked := h.clock()
@@ -308,6 +340,7 @@
 	newVersion, err := h.table.Commit(ctx, txn)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.latency = max(h.clock()-asked, time.Duration(latencyDecay*float64(h.latency)))
 	if current, ok := row.tookEffect(err); ok {
 		// The answer is that to a copy of the call.
 		newVersion, err = current, nil
@@ -315,7 +348,7 @@
 	if err != nil {
 		return 0, h.resolve(err)
 	}
-	h.row, h.version, h.renewed = row, newVersion, asked
+	h.row, h.version, h.renewed, h.valid = row, newVersion, asked, row.validity()
 	h.lost = h.lost || release
 	return newVersion, nil
 }
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -61,7 +61,7 @@
 func TestSuspendedHolderIsNotValid(t *testing.T) {
 	clock := &fakeClock{now: time.Hour}
 	holder := take(t, duty.NewCandidate(memory.New(), clock.read, "a", 1))
-	clock.now += duty.Validity
+	clock.now += duty.MaxValidity
 	if holder.Valid() {
 		t.Error("a holder that slept through its validity may act")
 	}
@@ -149,7 +149,7 @@
 		_, err := holder.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
 		return err
 	}
-	clock.now += duty.Validity / 2
+	clock.now += duty.MinValidity / 2
 	if err := commit("one"); err != nil || holder.Age() != 0 {
 		t.Fatalf("commit that was carried out: %v, age %v", err, holder.Age())
 	}
@@ -388,19 +388,100 @@
 	}
 }
 
-// Guards against an upgrade after which the row of an earlier version can't be read, so that nobody takes the duty.
-func TestRowOfAnEarlierVersionIsRead(t *testing.T) {
-	table := memory.New()
-	encoded, err := cbor.Marshal([]any{"a", int64(5), uint64(9), true, uint64(3)})
-	if err != nil {
-		t.Fatal(err)
+// Guards against an upgrade after which the row of an earlier or later version can't be read, so that nobody takes the duty.
+func TestRowOfAnotherVersionIsRead(t *testing.T) {
+	first := []any{"a", int64(5), uint64(9), true, uint64(3)}
+	for name, fields := range map[string][]any{
+		"the first version":          first,
+		"with the time of renewal":   append(first[:5:5], int64(7)),
+		"a field that is to be made": append(first[:5:5], int64(7), int64(900), "later"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := memory.New()
+			encoded, err := cbor.Marshal(fields)
+			if err != nil {
+				t.Fatal(err)
+			}
+			key := store.Key{Table: store.TableDuty, Name: "scheduler"}
+			if _, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: encoded}}}); err != nil {
+				t.Fatal(err)
+			}
+			holder := take(t, duty.NewCandidate(table, (&fakeClock{now: time.Hour}).read, "b", 1))
+			if holder.Epoch() != 10 {
+				t.Errorf("epoch %d", holder.Epoch())
+			}
+		})
 	}
-	key := store.Key{Table: store.TableDuty, Name: "scheduler"}
-	if _, err := table.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: encoded}}}); err != nil {
-		t.Fatal(err)
+}
+
+// Guards against a dead holder whose successor waits as long as in a slow store (2.1 s; days with a holder that is cut off, replaced or
+// frozen 0.69 to 0.74), and against a live one that is replaced, or pauses, while its renewals take long.
+func TestValidityFollowsWhatRenewalsTake(t *testing.T) {
+	cases := []struct {
+		name       string
+		each       time.Duration
+		least      time.Duration
+		takenAfter time.Duration
+	}{
+		{name: "quick", each: 5 * time.Millisecond, least: 700 * time.Millisecond, takenAfter: 1300 * time.Millisecond},
+		{name: "another region", each: 30 * time.Millisecond, least: 700 * time.Millisecond, takenAfter: 1400 * time.Millisecond},
+		{name: "slow", each: 500 * time.Millisecond, least: 900 * time.Millisecond, takenAfter: 3700 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			clock := &fakeClock{now: time.Hour}
+			table := &lateTable{Table: memory.New(), clock: clock, before: c.each / 2, after: c.each / 2}
+			holder := take(t, duty.NewCandidate(table, clock.read, "a", 1))
+			for range 3 {
+				if _, err := holder.Commit(context.Background(), store.Txn{}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			renewed := clock.now
+			other := duty.NewCandidate(table, clock.read, "b", 2)
+			observe(t, other)
+			for {
+				clock.now += 20 * time.Millisecond
+				valid, waited := holder.Valid(), clock.now-renewed
+				if !valid && waited < c.least {
+					t.Fatalf("the holder may not act %v after its renewal", waited)
+				}
+				if !other.Vacant(observe(t, other)) {
+					continue
+				}
+				if valid {
+					t.Fatal("taken over while the holder may act")
+				}
+				if waited > c.takenAfter {
+					t.Errorf("vacant after %v, want at most %v", waited, c.takenAfter)
+				}
+				return
+			}
+		})
 	}
-	holder := take(t, duty.NewCandidate(table, (&fakeClock{now: time.Hour}).read, "b", 1))
-	if holder.Epoch() != 10 {
-		t.Errorf("epoch %d", holder.Epoch())
+}
+
+// Guards against a holder that goes by a long validity although the row states a short one, since the answer to that renewal was lost.
+func TestShorterValidityHoldsFromTheCallOn(t *testing.T) {
+	clock := &fakeClock{now: time.Hour}
+	table := &lateTable{Table: memory.New(), clock: clock, before: 400 * time.Millisecond}
+	holder := take(t, duty.NewCandidate(table, clock.read, "a", 1))
+	table.before = 0
+	for holder.Valid() {
+		if _, err := holder.Commit(context.Background(), store.Txn{}); err != nil {
+			t.Fatal(err)
+		}
+		table.SetMode(memory.ModeLost)
+		if _, err := holder.Commit(context.Background(), store.Txn{}); err == nil {
+			t.Fatal("a commit without an answer succeeded")
+		}
+		table.SetMode(memory.ModeNone)
+		other := duty.NewCandidate(table, clock.read, "b", 2)
+		observe(t, other)
+		for start := clock.now; clock.now < start+4*time.Second; clock.now += 20 * time.Millisecond {
+			if valid := holder.Valid(); other.Vacant(observe(t, other)) && valid {
+				t.Fatal("taken over while the holder may act")
+			}
+		}
 	}
 }
--- a/execution/waiting_test.go
+++ b/execution/waiting_test.go
@@ -76,6 +76,8 @@
 		r.relieve(w, r.clock)
 		r.handleEvents()
 		r.advance(settleTime)
+		// Orders are given while the duty is renewed.
+		r.store()
 	}
 	held := 0
 	r.client.mu.Lock()
--- a/store/hedge/hedge.go
+++ b/store/hedge/hedge.go
@@ -8,10 +8,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/time/rate"
 
 	"bronzehook/fault"
 	"bronzehook/store"
@@ -20,29 +20,35 @@
 // When a call is repeated.
 const (
 	// maxCopies bounds how often a call is sent, the first time included.
-	maxCopies = 3
-	// overdueFactor times what calls took of late, and overdueMargin, is when an answer is overdue; each further copy has twice the
-	// time.
+	maxCopies = 5
+	// overdueFactor times what calls took of late, and overdueMargin, is when an answer is overdue.
 	overdueFactor = 3
 	overdueMargin = 60 * time.Millisecond
+	// An overdue answer is lost if a call that was sent later has been answered. Without that sign the store may be slow, where
+	// copies wait in one line with the calls after them: then a copy is sent after patience times as long.
+	patience = 4
 	// typicalDecay is what is left of the duration of a slow call with each call that is faster.
 	typicalDecay = 0.8
-	// repeatsPerSecond bounds the copies, since a store that is slow or away answers none in time.
-	repeatsPerSecond = 10
+	// repeatsAtOnce and repeatsPerSecond bound the copies that are not answered in time either: a store that is slow or away gains
+	// nothing from them.
+	repeatsAtOnce    = 10
+	repeatsPerSecond = 4
 )
 
 // Table repeats overdue calls to a table. Watches are not repeated.
 type Table struct {
 	store.Table
 	commits, reads typical
-	budget         *rate.Limiter
-	repeated       prometheus.Counter
+	// answered is the latest time at which a call was sent that has been answered, in ns since 1970.
+	answered atomic.Int64
+	budget   budget
+	repeated prometheus.Counter
 }
 
 // New returns a table on another one.
 func New(inner store.Table, registry prometheus.Registerer) *Table {
 	t := &Table{
-		Table: inner, budget: rate.NewLimiter(repeatsPerSecond, repeatsPerSecond),
+		Table: inner, budget: budget{left: repeatsAtOnce, at: time.Now()},
 		repeated: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "bronzehook", Name: "store_calls_repeated_total", Help: "Calls to the store that were sent again because their answer was overdue.",
 		}),
@@ -80,18 +86,23 @@
 // of them.
 func hedged[T any](t *Table, took *typical, do func() (T, error)) (T, error) {
 	answers := make(chan answer[T], maxCopies)
-	send := func() {
+	wait := took.overdue()
+	send := func(repeated bool) {
 		sent := time.Now()
 		value, err := do()
 		result := answer[T]{value, err}
 		if result.settles() {
 			took.note(time.Since(sent))
+			t.noteAnswered(sent)
+			if repeated && time.Since(sent) < wait {
+				t.budget.refund()
+			}
 		}
 		answers <- result
 	}
-	go send()
-	wait := took.overdue()
-	overdue := time.NewTimer(wait)
+	go send(false)
+	newest := time.Now()
+	overdue := time.NewTicker(wait)
 	defer overdue.Stop()
 	var worst answer[T]
 	for copies, open := 1, 1; ; {
@@ -108,18 +119,28 @@
 				return worst.value, worst.err
 			}
 		case <-overdue.C:
-			if copies < maxCopies && t.budget.Allow() {
+			due := t.overtaken(newest) || time.Since(newest) >= patience*wait
+			if due && copies < maxCopies && t.budget.take(time.Now()) {
 				copies++
 				open++
-				wait *= 2
-				overdue.Reset(wait)
+				newest = time.Now()
 				t.repeated.Inc()
-				go send()
+				go send(true)
 			}
 		}
 	}
 }
 
+// noteAnswered notes that a call was answered which was sent at a time.
+func (t *Table) noteAnswered(sent time.Time) {
+	at := sent.UnixNano()
+	for before := t.answered.Load(); at > before && !t.answered.CompareAndSwap(before, at); before = t.answered.Load() {
+	}
+}
+
+// overtaken reports whether a call has been answered that was sent after a time.
+func (t *Table) overtaken(sent time.Time) bool { return t.answered.Load() > sent.UnixNano() }
+
 // typical is how long calls that were answered took of late.
 type typical struct {
 	mu   sync.Mutex
@@ -137,3 +158,30 @@
 	defer t.mu.Unlock()
 	return overdueFactor*t.took + overdueMargin
 }
+
+// budget bounds the copies that are not answered in time.
+type budget struct {
+	mu   sync.Mutex
+	left float64
+	at   time.Time
+}
+
+// take reports whether a copy may be sent.
+func (b *budget) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(repeatsAtOnce, b.left+repeatsPerSecond*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+// refund gives back what was taken for a copy that was answered in time.
+func (b *budget) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(repeatsAtOnce, b.left+1)
+}
--- a/store/hedge/hedge_test.go
+++ b/store/hedge/hedge_test.go
@@ -66,14 +66,17 @@
 		name   string
 		lose   int
 		refuse bool
+		// busy makes other calls meanwhile, which are answered.
+		busy   bool
 		read   bool
 		want   fault.Code
 		within time.Duration
 	}{
 		{name: "answer in time", within: timeOut / 2},
-		{name: "one lost answer of a commit that took effect", lose: 1, want: fault.CodeConflict, within: timeOut / 2},
-		{name: "two lost answers", lose: 2, want: fault.CodeConflict, within: timeOut},
-		{name: "one lost answer of a read", lose: 1, read: true, within: timeOut / 2},
+		{name: "one lost answer of a commit that took effect", lose: 1, busy: true, want: fault.CodeConflict, within: timeOut / 3},
+		{name: "two lost answers", lose: 2, busy: true, want: fault.CodeConflict, within: timeOut / 2},
+		{name: "one lost answer of a read", lose: 1, busy: true, read: true, within: timeOut / 3},
+		{name: "a lost answer and no other call", lose: 1, want: fault.CodeConflict, within: timeOut / 2},
 		{name: "no answer at all", lose: 9, want: fault.CodeOutcomeUnknown, within: 3 * timeOut},
 		{name: "a copy that is refused leaves the outcome open", lose: 1, refuse: true, want: fault.CodeOutcomeUnknown, within: 2 * timeOut},
 	}
@@ -81,6 +84,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			table := New(&lossy{Table: memory.New(), lose: c.lose, refuse: c.refuse}, prometheus.NewRegistry())
+			if c.busy {
+				busy := time.AfterFunc(overdueMargin/2, func() { table.noteAnswered(time.Now()) })
+				again := time.AfterFunc(3*overdueMargin/2, func() { table.noteAnswered(time.Now()) })
+				defer busy.Stop()
+				defer again.Stop()
+			}
 			started := time.Now()
 			var err error
 			if c.read {
@@ -113,7 +122,7 @@
 	return s.Table.Commit(ctx, txn)
 }
 
-// Guards against a slow store that gets each call several times.
+// Guards against a store that has just turned slow and gets each call several times, one after the other.
 func TestSlowStoreIsNotAskedTwiceForLong(t *testing.T) {
 	inner := &slow{Table: memory.New()}
 	table := New(inner, prometheus.NewRegistry())
@@ -149,8 +158,8 @@
 	all.Wait()
 	inner.mu.Lock()
 	defer inner.mu.Unlock()
-	// The budget of a burst, and of the second or so that the calls take.
-	if limit := callers + 4*repeatsPerSecond; inner.calls > limit {
+	// The budget at once, and that of the second or so that the calls take.
+	if limit := callers + repeatsAtOnce + 2*repeatsPerSecond; inner.calls > limit {
 		t.Errorf("%d calls of %d callers, want at most %d", inner.calls, callers, limit)
 	}
 }
