Take the close of a connection from the stream that tells it first

The library fails the open streams of a closed connection before it ends the connection's context; a caller that looked at the context at once found no close, and its call was unknown instead of not-run. Ruled out: the text of the close (it is the one of the runs that pass) and the order of streams. Change: a connection remembers how it was closed from whichever failure tells so first, that of a stream or its own.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,8 @@
 	since   time.Time
 	// unserved is the lowest stream of the peer from which on none was served; Transport.mu guards it.
 	unserved quic.StreamID
+	// ended is how the peer closed the connection, as a stream has told. The connection's own context ends a little later.
+	ended atomic.Pointer[quic.ApplicationError]
 }
 
 func (c *connection) alive() bool { return c.quic.Context().Err() == nil }
@@ -42,15 +45,23 @@
 
 // refused reports whether the peer closed the connection without having served a stream of this instance.
 func (c *connection) refused(id quic.StreamID) bool {
-	var closed *quic.ApplicationError
-	ended := errors.As(context.Cause(c.quic.Context()), &closed)
-	if !ended || !closed.Remote || closed.ErrorCode != closeStopping {
+	c.noteEnd(context.Cause(c.quic.Context()))
+	closed := c.ended.Load()
+	if closed == nil || !closed.Remote || closed.ErrorCode != closeStopping {
 		return false
 	}
 	unserved, err := strconv.ParseInt(closed.ErrorMessage, 10, 64)
 	return err == nil && int64(id) >= unserved
 }
 
+// noteEnd takes up a failure of a stream or of the connection if it tells how the connection was closed.
+func (c *connection) noteEnd(err error) {
+	var closed *quic.ApplicationError
+	if errors.As(err, &closed) {
+		c.ended.Store(closed)
+	}
+}
+
 // pendingDial lets several callers wait for one handshake.
 type pendingDial struct {
 	done chan struct{}
--- a/peer/count.go
+++ b/peer/count.go
@@ -75,11 +75,13 @@
 func (s *countedStream) Read(p []byte) (int, error) {
 	n, err := s.stream.Read(p)
 	s.transport.count(s.conn.addr, s.purpose, n, 0)
+	s.conn.noteEnd(err)
 	return n, err
 }
 
 func (s *countedStream) Write(p []byte) (int, error) {
 	n, err := s.stream.Write(p)
 	s.transport.count(s.conn.addr, s.purpose, 0, n)
+	s.conn.noteEnd(err)
 	return n, err
 }
