Leave out invalid values of other writers one by one, and survive panics

Cause: a row of the list of workers whose value is not base64 made the whole response unreadable, so that the leader asked for the same changes for ever and followed the list no more; numbers beyond their range were taken for capacities and times. A submission with two counts whose sum overflows was accepted, and its row ended the process of each leader in turn (makeslice: len out of range), as did rows of jobs that another writer had spoilt. A panic in a goroutine or in a request during a planned stop ended the process.

Change: package invalid describes, counts and logs values that are left out; platform checks decoded values against named limits; submissions, stored specifications and progress records are validated; a job whose rows are invalid is set aside and not run. Package recovery turns panics into errors; a leadership term ends with one, and is released.

--- a/entry/config.go
+++ b/entry/config.go
@@ -8,11 +8,13 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/fault"
+	"bronzehook/invalid"
 	"bronzehook/leadership"
 	"bronzehook/logging"
 	"bronzehook/maintenance"
 	"bronzehook/manifest"
 	"bronzehook/platform"
+	"bronzehook/recovery"
 	"bronzehook/store"
 )
 
@@ -29,6 +31,8 @@
 	waves    *maintenance.Registry
 	clock    leadership.Clock
 	logger   zerolog.Logger
+	invalid  *invalid.Reporter
+	guard    *recovery.Guard
 	loop     backgroundLoop
 }
 
@@ -40,7 +44,7 @@
 
 // Start implements kernel.Service.
 func (s *manifestService) Start(context.Context) error {
-	s.loop.start(s.run)
+	s.loop.start(s.guard, "manifest", s.run)
 	return nil
 }
 
@@ -108,7 +112,7 @@
 func (s *manifestService) applyManifest(row store.Row) {
 	m, err := platform.ParseManifest(row.Value)
 	if err != nil {
-		s.logger.Error().AnErr("error", err).Uint64("row_version", row.Version).Msg("manifest not decoded")
+		s.invalid.Report(invalid.SourceManifest, row.Name, row.Version, err)
 		return
 	}
 	if s.provider.Update(m) {
@@ -123,7 +127,7 @@
 	}
 	wave, err := platform.ParseWave(row)
 	if err != nil {
-		s.logger.Error().AnErr("error", err).Uint64("row_version", row.Version).Msg("wave of maintenance unreadable")
+		s.invalid.Report(invalid.SourceWave, row.Name, row.Version, err)
 		return
 	}
 	s.waves.Put(wave, s.clock())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,12 +18,14 @@
 
 	"bronzehook/execution"
 	"bronzehook/intake"
+	"bronzehook/invalid"
 	"bronzehook/kernel"
 	"bronzehook/leadership"
 	"bronzehook/maintenance"
 	"bronzehook/manifest"
 	"bronzehook/measure"
 	"bronzehook/platform"
+	"bronzehook/recovery"
 	"bronzehook/relay"
 	"bronzehook/response"
 	"bronzehook/store/hedge"
@@ -81,6 +83,7 @@
 type process struct {
 	kernel     *kernel.Kernel
 	logger     zerolog.Logger
+	guard      *recovery.Guard
 	callers    *callerServer
 	leadership *leadershipService
 	leaving    atomic.Bool
@@ -92,24 +95,26 @@
 	registry := prometheus.NewRegistry()
 	platformStore := platform.NewStore(s.StoreAddr)
 	health := platformStore.Health()
-	table := hedge.New(measure.Table(platformStore, registry), registry)
 	provider := &manifest.Provider{}
 	waves := &maintenance.Registry{}
-	clock := &wallClock{path: s.TimeOffsetFile}
-	p := &process{logger: logger}
+	guard := recovery.NewGuard(registry, logger)
+	table := hedge.New(measure.Table(platformStore, registry), registry, guard)
+	reporter := invalid.NewReporter(registry, logger)
+	clock := &wallClock{path: s.TimeOffsetFile, guard: guard}
+	p := &process{logger: logger, guard: guard}
 	p.leadership = &leadershipService{
 		table: table, roundTrip: health.RoundTrip, name: s.ID, cpuShare: s.CPUShare, speed: measure.NewSpeed().Relative, logger: logger,
 		handoverRequestAfter: handoverRequestAfter, handoverCheckInterval: handoverCheckInterval,
 		options: execution.Options{
 			Table: table, Workers: measure.Workers(platform.NewWorkers(), registry), Manifest: provider, WorkersTable: platform.WorkersTable,
-			ParseRegistration: platform.ParseRegistration, Clock: leadership.BootTime, Now: clock.now, Logger: logger,
+			ParseRegistration: platform.ParseRegistration, Invalid: reporter, Guard: guard, Clock: leadership.BootTime, Now: clock.now, Logger: logger,
 			AttemptLeaseDuration: s.AttemptLeaseDuration(), RemoteDataFactor: s.RemoteDataFactor,
 			Retention: toDuration(s.Retention, time.Second), Metrics: execution.NewMetrics(registry),
 			Waves: waves, WaveStatus: platform.WaveStatus, MachineHandoverDelay: toDuration(s.MachineHandoverDelay, time.Millisecond),
 		},
 	}
 	if s.MachinesAddr != "" {
-		p.leadership.options.Machines = measure.Machines(platform.NewMachines(s.MachinesAddr), registry)
+		p.leadership.options.Machines = measure.Machines(platform.NewMachines(s.MachinesAddr, reporter), registry)
 	}
 	if s.AdviceAddr != "" {
 		p.leadership.options.Advisor = platform.NewAdvisor(s.AdviceAddr)
@@ -119,9 +124,9 @@
 	peerRelay := relay.New(s.ID, platform.CallerDeadline{}, logger, registry)
 	p.leadership.peerAddr = s.PeerAddr
 	p.leadership.onMembers = func(members []leadership.Member) { peerRelay.SetPeers(peersOf(members)) }
-	p.callers = &callerServer{name: "callers", addr: s.CallerAddr, handler: p.drainHandler(handler)}
+	p.callers = &callerServer{name: "callers", addr: s.CallerAddr, handler: p.serve("callers", handler)}
 	if s.PeerAddr != "" {
-		p.callers.handler = p.drainHandler(peerRelay.Handler(handler))
+		p.callers.handler = p.serve("callers", peerRelay.Handler(handler))
 	}
 	ready := func() bool {
 		return !p.leaving.Load() && provider.Current() != nil && !health.Down(notReadyOutage)
@@ -129,13 +134,13 @@
 	p.kernel = kernel.New(nil)
 	p.kernel.Register(
 		clock,
-		&manifestService{table: table, provider: provider, waves: waves, clock: leadership.BootTime, logger: logger},
+		&manifestService{table: table, provider: provider, waves: waves, clock: leadership.BootTime, logger: logger, invalid: reporter, guard: guard},
 		p.leadership,
 		p.callers,
 		&opsServer{name: "ready", addr: s.ReadyAddr, handler: platform.NewReadyHandler(ready)},
 	)
 	if s.PeerAddr != "" {
-		p.kernel.Register(&callerServer{name: "peers", addr: s.PeerAddr, handler: p.drainHandler(handler)})
+		p.kernel.Register(&callerServer{name: "peers", addr: s.PeerAddr, handler: p.serve("peers", handler)})
 	}
 	if s.MetricsAddr != "" {
 		metrics := http.NewServeMux()
@@ -153,6 +158,11 @@
 	return peers
 }
 
+// serve returns the handler of a server for requests of callers.
+func (p *process) serve(name string, next http.Handler) http.Handler {
+	return p.guard.Handler(name, p.drainHandler(next))
+}
+
 // drainHandler wraps a handler. Once the instance is leaving (shutting down), each connection is closed after its next response,
 // and a request that is not answered by responseDeadline gets status 504 (outcome unknown) instead of a broken connection.
 func (p *process) drainHandler(next http.Handler) http.Handler {
@@ -166,7 +176,11 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			next.ServeHTTP(buffer, r)
+			// net/http recovers from panics in its own goroutine only.
+			if p.guard.Do("draining", func() { next.ServeHTTP(buffer, r) }) != nil {
+				buffer.Status = http.StatusGatewayTimeout
+				buffer.Body.Reset()
+			}
 		}()
 		deadline := time.NewTimer(time.Until(time.Unix(0, p.responseDeadline.Load())))
 		defer deadline.Stop()
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -83,7 +83,7 @@
 			return
 		}
 		earliest = time.Now().Add(minTerm)
-		go func() {
+		go s.options.Guard.Do("overload check", func() {
 			defer checking.Store(false)
 			ctx, cancel := context.WithTimeout(ctx, membersReadTimeout)
 			defer cancel()
@@ -94,7 +94,7 @@
 			s.logger.Warn().Uint64(logging.KeyEpoch, epoch).Dur("run_delay", delay).Float64("speed", speed).Int("changes", takeovers).Int("members", len(members)).
 				Msg("duty given up, this instance is too slow for it")
 			resign()
-		}()
+		})
 	}
 }
 
--- a/entry/leadershipservice.go
+++ b/entry/leadershipservice.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"bronzehook/execution"
@@ -13,6 +14,7 @@
 	"bronzehook/leadership"
 	"bronzehook/logging"
 	"bronzehook/measure"
+	"bronzehook/recovery"
 	"bronzehook/store"
 )
 
@@ -94,7 +96,7 @@
 
 // Start implements kernel.Service.
 func (s *leadershipService) Start(context.Context) error {
-	s.loop.start(s.run)
+	s.loop.start(s.options.Guard, "leadership", s.run)
 	return nil
 }
 
@@ -233,22 +235,27 @@
 	s.logger.Warn().Uint64(logging.KeyEpoch, leader.Epoch()).AnErr("error", err).Msg("duty ended")
 }
 
-// lead runs a leadership term. If the term ends because this instance stops or resigns, leadership is released.
+// lead runs a leadership term. If the term ends because this instance stops or resigns, or by a panic, leadership is
+// released and this instance lets others go first.
 func (s *leadershipService) lead(ctx context.Context, leader *leadership.Leader) error {
 	termCtx, resign := context.WithCancel(ctx)
 	defer resign()
 	if s.cpuShare < smallCPUShare {
-		go s.resignOnRequest(termCtx, resign, leader.Epoch())
+		go s.options.Guard.Do("handover requests", func() { s.resignOnRequest(termCtx, resign, leader.Epoch()) })
 	}
 	options := s.options
 	options.RunDelay = measure.NewRunDelay().Mean
 	options.Overloaded = s.resignIfOverloaded(termCtx, resign, leader.Epoch())
 	err := execution.NewTerm(options, leader).Run(termCtx)
-	if termCtx.Err() == nil {
+	var panicked *recovery.PanicError
+	if termCtx.Err() == nil && !errors.As(err, &panicked) {
 		return err
 	}
 	s.holdOffUntil = time.Now().Add(resignHoldOff)
 	releaseCtx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	return leader.Release(releaseCtx)
+	if releaseErr := leader.Release(releaseCtx); releaseErr != nil || panicked == nil {
+		return releaseErr
+	}
+	return err
 }
--- a/entry/leadershipservice_test.go
+++ b/entry/leadershipservice_test.go
@@ -11,8 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"bronzehook/execution"
+	"bronzehook/invalid"
 	"bronzehook/leadership"
 	"bronzehook/manifest"
+	"bronzehook/recovery"
 	"bronzehook/store"
 	"bronzehook/store/memory"
 	"bronzehook/workers"
@@ -29,8 +31,11 @@
 		speed: func() float64 { return 1 }, logger: zerolog.Nop(), handoverRequestAfter: 100 * time.Millisecond, handoverCheckInterval: 100 * time.Millisecond,
 		options: execution.Options{
 			Table: table, Manifest: provider, WorkersTable: "workers", Clock: leadership.BootTime, Now: time.Now, Logger: zerolog.Nop(),
-			ParseRegistration: func(store.Row) (workers.Registration, bool) { return workers.Registration{}, false }, AttemptLeaseDuration: time.Second,
-			Metrics: execution.NewMetrics(prometheus.NewRegistry()),
+			ParseRegistration: func(store.Row) (workers.Registration, error) {
+				return workers.Registration{}, invalid.New(invalid.KindMissing, "everything")
+			},
+			AttemptLeaseDuration: time.Second, Metrics: execution.NewMetrics(prometheus.NewRegistry()),
+			Invalid: invalid.NewReporter(prometheus.NewRegistry(), zerolog.Nop()), Guard: recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop()),
 		},
 	}
 	if err := s.Start(context.Background()); err != nil {
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -5,6 +5,11 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"bronzehook/recovery"
 )
 
 // Guards against a request without a response because the process exits during its call to a slow store (soak seed 6001).
@@ -19,7 +24,7 @@
 	})
 	for path, want := range map[string]int{"/quick": http.StatusAccepted, "/slow": http.StatusGatewayTimeout} {
 		// Each request has its own process, since the slow one takes until responseDeadline.
-		n := &process{}
+		n := &process{guard: recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop())}
 		n.responseDeadline.Store(time.Now().Add(100 * time.Millisecond).UnixNano())
 		n.leaving.Store(true)
 		got := httptest.NewRecorder()
--- a/entry/wallclock.go
+++ b/entry/wallclock.go
@@ -9,12 +9,14 @@
 	"time"
 
 	"bronzehook/leadership"
+	"bronzehook/recovery"
 )
 
 // wallClock reads the wall-clock time, shifted by an offset from a file. Tests use the file to make the clock of one instance jump.
 type wallClock struct {
 	path   string
 	offset atomic.Int64
+	guard  *recovery.Guard
 	loop   backgroundLoop
 }
 
@@ -30,7 +32,7 @@
 // Start implements kernel.Service.
 func (c *wallClock) Start(context.Context) error {
 	c.readOffset()
-	c.loop.start(func(ctx context.Context) {
+	c.loop.start(c.guard, "wall clock", func(ctx context.Context) {
 		for c.path != "" && ctx.Err() == nil {
 			leadership.Sleep(ctx, offsetReadInterval)
 			c.readOffset()
--- a/execution/activation_test.go
+++ b/execution/activation_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/store"
 	"bronzehook/store/memory"
@@ -13,16 +14,16 @@
 
 // registerWorkers registers workers of one service, eight to a rack.
 func (r *rig) registerWorkers(count, cpu int) {
-	r.opts.ParseRegistration = func(row store.Row) (workers.Registration, bool) {
+	r.opts.ParseRegistration = func(row store.Row) (workers.Registration, error) {
 		var n int
 		if _, err := fmt.Sscanf(row.Name, "w%d", &n); err != nil {
-			return workers.Registration{}, false
+			return workers.Registration{}, invalid.Undecodable("name", err)
 		}
 		rack := fmt.Sprint("rack-", n%(count/8))
 		return workers.Registration{
 			ID: workers.ID(row.Name), Addr: row.Name + ":1", Service: "s", Rack: rack, Labels: []string{"kind", rack}, StartTime: 1,
 			Capacity: jobs.Resources{CPU: cpu, MemoryMB: 100_000},
-		}, true
+		}, nil
 	}
 	for n := range count {
 		r.applyRegistration(store.Row{Key: store.Key{Table: "servers", Name: fmt.Sprintf("w%04d", n)}, Version: 1})
--- a/execution/advice.go
+++ b/execution/advice.go
@@ -111,10 +111,10 @@
 	t.adviceInFlight = true
 	a.requestedAt = now
 	stepID := jobs.Task{Job: j.spec.ID, Occurrence: number, Step: step}
-	go func() {
+	t.spawn("advice request", func() {
 		advice, err := t.opts.Advisor.Advise(t.ctx, stepID, ids)
 		t.post(func() { t.handleAdvice(a, stepID, ids, now, advice, err) })
-	}()
+	})
 }
 
 // handleAdvice handles the response of the advice service.
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -49,7 +49,7 @@
 		Target: t.target(w), Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
 		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), LeaseExpiry: w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds(),
 	}
-	go func() {
+	t.spawn("start command", func() {
 		if !t.leader.Valid() {
 			t.post(func() {
 				t.handleStart(a, command.Target, 0, errors.WithStack(&workers.UnreachableError{Worker: command.ID, Detail: "leadership lease expired"}))
@@ -58,7 +58,7 @@
 		}
 		clock, err := t.opts.Workers.Start(t.ctx, command)
 		t.post(func() { t.handleStart(a, command.Target, clock, err) })
-	}()
+	})
 }
 
 // cancelStart cancels the start of an attempt on a worker that has begun to drain, or lost its registration, since the
@@ -186,13 +186,13 @@
 		return
 	}
 	task, attempt := a.task.id, a.number
-	go func() {
+	t.spawn("stop command", func() {
 		if !t.leader.Valid() {
 			return
 		}
 		err := t.opts.Workers.Stop(t.ctx, target, task, attempt)
 		t.post(func() { t.handleStop(a, err) })
-	}()
+	})
 }
 
 // handleStop handles the response to a stop command. A worker that has answered it does not start the attempt any more,
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -53,12 +53,12 @@
 	t.addInterferenceState(&txn, now)
 	removed := t.addObsolete(&txn)
 	t.records.committing = true
-	go func() {
+	t.spawn("record commit", func() {
 		started := time.Now()
 		_, err := t.leader.Commit(t.ctx, txn)
 		t.opts.Metrics.committed(time.Since(started), err)
 		t.post(func() { t.recordsCommitted(batch, removed, err) })
-	}()
+	})
 }
 
 // commitStates starts a commit of the public states, or else of the deletes of expired rows, of one group of jobs.
@@ -75,12 +75,12 @@
 		return
 	}
 	q.committing = true
-	go func() {
+	t.spawn("state commit", func() {
 		started := time.Now()
 		version, err := t.opts.Table.Commit(t.ctx, txn)
 		t.opts.Metrics.committed(time.Since(started), err)
 		t.post(func() { t.statesCommitted(q, batch, version, err) })
-	}()
+	})
 }
 
 // removable reports whether a job has ended and has no live attempts, so that its rows can be deleted.
--- a/execution/load.go
+++ b/execution/load.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/leadership"
-	"bronzehook/logging"
 	"bronzehook/placement"
 	"bronzehook/store"
 	"bronzehook/workers"
@@ -47,13 +47,13 @@
 	}
 	at.intake, at.workers = intake.Version, registrations.Version
 	for _, row := range registrations.Rows {
-		t.applyRegistration(row)
+		t.guardRow(invalid.SourceRegistration, row, t.applyRegistration)
 	}
 	for _, row := range intake.Rows {
-		t.applyIntake(row)
+		t.guardRow(invalid.SourceJob, row, t.applyIntake)
 	}
 	for _, row := range progress.Rows {
-		t.applyRecord(row)
+		t.guardRow(invalid.SourceProgress, row, t.applyRecord)
 	}
 	t.restoreInterference()
 	return at, nil
@@ -88,7 +88,8 @@
 func (t *Term) keepLeadership() (context.Context, func() error) {
 	ctx, cancel := context.WithCancel(t.ctx)
 	result := make(chan error, 1)
-	go func() {
+	t.spawn("leadership renewal", func() {
+		defer close(result)
 		defer cancel()
 		for ctx.Err() == nil {
 			_, err := t.leader.Commit(ctx, store.Txn{})
@@ -99,8 +100,7 @@
 			}
 			leadership.Sleep(ctx, loadRenewInterval)
 		}
-		result <- nil
-	}()
+	})
 	return ctx, func() error {
 		cancel()
 		return <-result
@@ -130,14 +130,22 @@
 // applyRecord restores the progress of a job from its record.
 func (t *Term) applyRecord(row store.Row) {
 	j := t.jobs[jobs.ID(row.Name)]
+	if j == nil && t.setAside[jobs.ID(row.Name)] {
+		return
+	}
 	if j == nil {
 		// The job has ended, and the term that ended it was over before it deleted the record.
 		t.obsoleteRecords = append(t.obsoleteRecords, row.Key)
 		return
 	}
 	record, err := jobs.Decode[jobs.Record]("progress", row.Value)
+	if err == nil {
+		err = record.Validate(j.spec)
+	}
 	if err != nil {
-		t.log.Error().Str(logging.KeyRequest, row.Name).AnErr("error", err).Msg("progress record cannot be decoded")
+		// Without its progress the job must not run: tasks that are done would run again.
+		t.opts.Invalid.Report(invalid.SourceProgress, row.Name, row.Version, err)
+		t.setJobAside(j, "progress record is invalid")
 		return
 	}
 	j.recorded = true
@@ -147,11 +155,8 @@
 	t.updateJobState(j)
 }
 
-// restoreTask restores the progress of a task. If an attempt may be running, the task has it as an inherited one.
+// restoreTask restores the progress of a task from a valid record. If an attempt may be running, the task has it as an inherited one.
 func (t *Term) restoreTask(j *job, record *jobs.TaskRecord) {
-	if record.Occurrence >= len(j.occurrences) || record.Step >= len(j.spec.Steps) || record.Index >= j.spec.Steps[record.Step].Count {
-		return
-	}
 	o := t.openOccurrence(j, record.Occurrence)
 	task := o.steps[record.Step][record.Index]
 	task.failures, task.attempt, task.lastEnded, task.checkpoint = record.Failures, record.Attempt, record.Ended, record.Checkpoint
--- a/execution/maintenance.go
+++ b/execution/maintenance.go
@@ -197,13 +197,13 @@
 	wasUnconfirmed := w.Unconfirmed[machine]
 	w.SentAt[machine], w.Unconfirmed[machine] = now, true
 	command := maintenance.Order{Machine: machine, Wave: w.Number, Leader: t.leader.Name(), Epoch: t.leader.Epoch()}
-	go func() {
+	t.spawn("maintenance command", func() {
 		err := errors.WithStack(error(&maintenance.RefusedError{Machine: machine, Reason: maintenance.ReasonBusy}))
 		if t.leader.Valid() {
 			err = t.opts.Machines.Begin(t.ctx, command)
 		}
 		t.post(func() { t.handleMaintenance(w, machine, wasUnconfirmed, err) })
-	}()
+	})
 }
 
 // handleMaintenance handles the response to a maintenance command. wasUnconfirmed tells whether an earlier command for
@@ -253,7 +253,7 @@
 		return
 	}
 	w.listing = true
-	go func() {
+	t.spawn("machine listing", func() {
 		machines, err := t.opts.Machines.List(t.ctx)
 		t.post(func() {
 			w.listing = false
@@ -268,7 +268,7 @@
 			}
 			w.StatesKnown, w.StatesRequestedAt = true, now
 		})
-	}()
+	})
 }
 
 // readWave reads the stored status of a wave.
@@ -278,7 +278,7 @@
 	}
 	w.reading = true
 	finished := t.opts.WaveStatus(w.Number, true)
-	go func() {
+	t.spawn("wave read", func() {
 		rows, err := store.ReadRow(t.ctx, t.opts.Table, finished.Key)
 		t.post(func() {
 			w.reading = false
@@ -290,7 +290,7 @@
 				t.applyWaveStatus(w, row)
 			}
 		})
-	}()
+	})
 }
 
 // applyWaveStatus applies the row with the stored status of a wave.
@@ -309,7 +309,7 @@
 	w.writing = true
 	status := t.opts.WaveStatus(w.Number, finished)
 	txn := store.Txn{Conditions: []store.Condition{{Key: status.Key, Version: w.version}}, Puts: []store.Put{status}}
-	go func() {
+	t.spawn("wave commit", func() {
 		version, err := t.opts.Table.Commit(t.ctx, txn)
 		t.post(func() {
 			w.writing = false
@@ -325,5 +325,5 @@
 					Msg("state of the wave stored")
 			}
 		})
-	}()
+	})
 }
--- a/execution/mitigation.go
+++ b/execution/mitigation.go
@@ -210,14 +210,14 @@
 	a.worker.throttledAt = now
 	target := t.target(a.worker)
 	task, attempt := a.task.id, a.number
-	go func() {
+	t.spawn("throttle command", func() {
 		if !t.leader.Valid() {
 			return
 		}
 		if err := t.opts.Workers.Throttle(t.ctx, target, task, attempt, cpuPercent); err != nil {
 			t.post(func() { t.handleThrottleFailure(a, err) })
 		}
-	}()
+	})
 }
 
 // handleThrottleFailure stops a best-effort attempt after a throttle command failed, since its CPU limit is unknown
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bronzehook/fault"
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/logging"
@@ -100,7 +101,7 @@
 	w.polling = true
 	w.pendingPolls++
 	round := w.pollRound
-	go func() {
+	t.spawn("poll", func() {
 		if !t.leader.Valid() {
 			t.post(func() { w.polling = false })
 			return
@@ -112,7 +113,7 @@
 				t.handlePoll(w, request, now, inventory, err)
 			}
 		})
-	}()
+	})
 }
 
 // handlePoll handles the response to a poll that was sent at sentAt.
@@ -151,6 +152,9 @@
 		w.fenced = true
 		t.scheduleDue = true
 	}
+	if inventory.Unknown > 0 {
+		t.opts.Invalid.Report(invalid.SourceWorker, string(w.id()), uint64(inventory.Unknown), invalid.New(invalid.KindUndecodable, "list of attempts"))
+	}
 	t.applyIncarnation(w, inventory.StartTime)
 	w.ackedUpTo = max(w.ackedUpTo, request.AckUpTo)
 	for _, termination := range inventory.Terminations {
@@ -247,11 +251,11 @@
 	t.log.Warn().Stringer(logging.KeyTask, key.task).Int(logging.KeyAttempt, key.attempt).
 		Str(logging.KeyWorker, string(w.id())).Msg("orphaned attempt, stopping it")
 	target := t.target(w)
-	go func() {
+	t.spawn("orphan stop", func() {
 		if t.leader.Valid() {
 			_ = t.opts.Workers.Stop(t.ctx, target, key.task, key.attempt)
 		}
-	}()
+	})
 }
 
 // handlePollFailure handles a poll that was refused or had no response. The term ends if the worker has accepted a
--- a/execution/rig_test.go
+++ b/execution/rig_test.go
@@ -9,9 +9,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/manifest"
+	"bronzehook/recovery"
 	"bronzehook/store"
 	"bronzehook/store/memory"
 	"bronzehook/workers"
@@ -99,8 +101,12 @@
 	}
 	r.Term = NewTerm(Options{
 		Table: table, Workers: r.client, Manifest: provider, WorkersTable: "servers",
-		ParseRegistration: func(store.Row) (workers.Registration, bool) { return workers.Registration{}, false },
-		Clock:             clock, Now: func() time.Time { return r.wallClock }, Logger: zerolog.Nop(), AttemptLeaseDuration: testAttemptLease,
+		ParseRegistration: func(store.Row) (workers.Registration, error) {
+			return workers.Registration{}, invalid.New(invalid.KindMissing, "everything")
+		},
+		Invalid: invalid.NewReporter(prometheus.NewRegistry(), zerolog.Nop()),
+		Guard:   recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop()),
+		Clock:   clock, Now: func() time.Time { return r.wallClock }, Logger: zerolog.Nop(), AttemptLeaseDuration: testAttemptLease,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, leader)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -38,8 +38,11 @@
 	}
 	sort.SliceStable(t.order, func(a, b int) bool { return ranksHigher(t.order[a], t.order[b]) })
 	for _, j := range t.order {
-		if j.queueKnown && !j.terminal() {
-			t.placeJob(j, now, wallTime)
+		if !j.queueKnown || j.terminal() {
+			continue
+		}
+		if t.opts.Guard.Do("placement", func() { t.placeJob(j, now, wallTime) }) != nil {
+			t.setJobAside(j, "its placement panicked")
 		}
 	}
 }
--- a/execution/term.go
+++ b/execution/term.go
@@ -7,12 +7,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/logging"
 	"bronzehook/maintenance"
 	"bronzehook/manifest"
 	"bronzehook/placement"
+	"bronzehook/recovery"
 	"bronzehook/store"
 	"bronzehook/workers"
 )
@@ -26,8 +28,11 @@
 	Manifest *manifest.Provider
 	// WorkersTable is the table of worker registrations, one row for each worker. ParseRegistration decodes a row.
 	WorkersTable      string
-	ParseRegistration func(store.Row) (workers.Registration, bool)
-	Clock             leadership.Clock
+	ParseRegistration func(store.Row) (workers.Registration, error)
+	// Invalid reports values of other processes that are left out. Guard recovers from panics.
+	Invalid *invalid.Reporter
+	Guard   *recovery.Guard
+	Clock   leadership.Clock
 	// Now returns the wall-clock time; Clock is monotonic.
 	Now    func() time.Time
 	Logger zerolog.Logger
@@ -105,6 +110,8 @@
 	workersWithAcks map[*worker]struct{}
 	// earlyCancels holds the jobs whose cancellation was read before the job itself.
 	earlyCancels map[jobs.ID]bool
+	// setAside holds the jobs that this term does not schedule because of their rows or after a panic.
+	setAside map[jobs.ID]bool
 
 	interference *placement.InterferenceModel
 	// placementFailures holds the requests refused in this scheduling cycle, so that requests of the same kind that
@@ -183,7 +190,7 @@
 	return &Term{
 		opts: opts, leader: leader, events: make(chan func(), maxQueuedEvents),
 		log:  opts.Logger.With().Uint64(logging.KeyEpoch, leader.Epoch()).Logger(),
-		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), earlyCancels: make(map[jobs.ID]bool),
+		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), earlyCancels: make(map[jobs.ID]bool), setAside: make(map[jobs.ID]bool),
 		pools: make(map[string]*pool), workersWithAcks: make(map[*worker]struct{}),
 		unconfirmed: make(map[*taskAttempt]struct{}), queueWork: make(queueWorkMeans), waves: make(map[int]*wave), cordoned: make(map[string]int),
 		lostResponses: make(lostResponses),
@@ -198,14 +205,25 @@
 	defer cancel()
 	defer t.leader.Invalidate()
 	t.ctx = ctx
+	var ended error
+	// After a panic the state of the term cannot be relied on. The next term reads it from the store.
+	if panicked := t.opts.Guard.Do("term", func() { ended = t.control() }); panicked != nil {
+		return panicked
+	}
+	return ended
+}
+
+// control is the control goroutine: it reads what earlier terms stored and then handles events until the term ends.
+func (t *Term) control() error {
+	ctx := t.ctx
 	t.startedAt = t.opts.Clock()
 	from, err := t.load()
 	if err != nil {
 		return err
 	}
-	go t.watchIntake(from.intake)
-	go t.watchWorkers(from.workers)
-	go t.collectExpiredStates()
+	t.spawn("intake watch", func() { t.watchIntake(from.intake) })
+	t.spawn("worker watch", func() { t.watchWorkers(from.workers) })
+	t.spawn("state collection", t.collectExpiredStates)
 	took := t.opts.Clock() - t.startedAt
 	t.opts.Metrics.tookOver(took)
 	t.log.Info().Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).Int("engaged", len(t.active)).Dur("took", took).Msg("duty taken")
@@ -279,6 +297,15 @@
 	}
 }
 
+// spawn runs f in a goroutine. The term ends if f panics: what waits for its result would wait for ever.
+func (t *Term) spawn(place string, f func()) {
+	go func() {
+		if err := t.opts.Guard.Do(place, f); err != nil {
+			t.post(func() { t.fail(err) })
+		}
+	}()
+}
+
 // post queues an event for the control goroutine.
 func (t *Term) post(event func()) {
 	select {
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzehook/fault"
+	"bronzehook/invalid"
 	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/logging"
@@ -21,7 +22,7 @@
 			if row.Deleted {
 				continue
 			}
-			t.applyIntake(row)
+			t.guardRow(invalid.SourceJob, row, t.applyIntake)
 			if !full {
 				t.markVerified(row)
 			}
@@ -36,7 +37,7 @@
 			t.deregisterMissing(rows)
 		}
 		for _, row := range rows {
-			t.applyRegistration(row)
+			t.guardRow(invalid.SourceRegistration, row, t.applyRegistration)
 		}
 	})
 }
@@ -86,12 +87,13 @@
 		t.earlyCancels[id] = true
 		return
 	}
-	if t.jobs[id] != nil {
+	if t.jobs[id] != nil || t.setAside[id] {
 		return
 	}
-	spec, err := jobs.Decode[jobs.Spec]("job", row.Value)
+	spec, err := decodeSpec(id, row)
 	if err != nil {
-		t.log.Error().Str(logging.KeyRequest, name).AnErr("error", err).Msg("job cannot be decoded")
+		t.opts.Invalid.Report(invalid.SourceJob, name, row.Version, err)
+		t.setAside[id] = true
 		return
 	}
 	j := &job{
@@ -146,8 +148,9 @@
 		}
 		return
 	}
-	registration, ok := t.opts.ParseRegistration(row)
-	if !ok {
+	registration, err := t.opts.ParseRegistration(row)
+	if err != nil {
+		t.opts.Invalid.Report(invalid.SourceRegistration, row.Name, row.Version, err)
 		if w := t.workers[id]; w != nil {
 			t.deregister(w)
 		}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"fmt"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
@@ -34,6 +36,46 @@
 	Tasks []TaskRecord
 }
 
+// InvalidRecordError reports a progress record that does not belong to its job's specification.
+type InvalidRecordError struct {
+	// Entry is the index of the task's entry.
+	Entry  int
+	Detail string
+}
+
+// Error names the entry.
+func (e *InvalidRecordError) Error() string {
+	return fmt.Sprintf("progress record, entry %d: %s", e.Entry, e.Detail)
+}
+
+// Code implements fault.Coded.
+func (*InvalidRecordError) Code() fault.Code { return fault.CodeInvalid }
+
+// Validate checks that a record names only tasks of a specification, each at most once, and that its numbers are possible.
+func (r *Record) Validate(spec *Spec) error {
+	type taskKey struct{ occurrence, step, index int }
+	seen := make(map[taskKey]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		key := taskKey{task.Occurrence, task.Step, task.Index}
+		switch {
+		case task.Occurrence < 0 || task.Occurrence >= spec.Occurrences(), task.Step < 0 || task.Step >= len(spec.Steps):
+			return &InvalidRecordError{i, "no such step"}
+		case task.Index < 0 || task.Index >= spec.Steps[task.Step].Count:
+			return &InvalidRecordError{i, "no such task"}
+		case seen[key]:
+			return &InvalidRecordError{i, "second entry of a task"}
+		case task.Failures < 0 || task.Attempt < 0 || task.Ended < 0 || task.Attempt > MaxAttempt || task.Ended > MaxAttempt:
+			return &InvalidRecordError{i, "number out of range"}
+		}
+		seen[key] = true
+	}
+	return nil
+}
+
+// MaxAttempt bounds attempt numbers, so that a stored number of another writer cannot make the next one overflow.
+const MaxAttempt = 1 << 40
+
 // PublicState is the stored state of a job that is returned to callers.
 type PublicState struct {
 	_     struct{} `cbor:",toarray"`
--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bronzehook/fault"
@@ -139,12 +140,20 @@
 	return s.FirstRun + int64(occurrence)*s.Interval.Milliseconds()
 }
 
-// Limits of a submission. They bound the memory that one job can use.
+// Limits of a submission. They bound the memory that one job can use, and keep sums over its tasks from overflowing.
 const (
-	maxSteps       = 200
-	maxTasks       = 10_000
-	maxOccurrences = 1_000
-	maxSpecBytes   = 4_000
+	maxSteps        = 200
+	maxTasks        = 10_000
+	maxOccurrences  = 1_000
+	maxAllTasks     = 1_000_000
+	maxSpecBytes    = 4_000
+	maxDependencies = 10 * maxSteps
+	maxNameBytes    = 256
+	// maxTaskAmount bounds each resource of a task, far above any worker's capacity.
+	maxTaskAmount = 1_000_000_000
+	maxDuration   = 366 * 24 * time.Hour
+	// maxDue is the year 2200 in Unix milliseconds.
+	maxDue = 7_258_118_400_000
 )
 
 // InvalidSpecError reports a submission with a field that is not accepted.
@@ -170,27 +179,43 @@
 		return &InvalidSpecError{"steps", fmt.Sprintf("1 to %d", maxSteps)}
 	case s.Repeat < 0 || s.Repeat > maxOccurrences:
 		return &InvalidSpecError{"repeat count", fmt.Sprintf("0 to %d", maxOccurrences)}
+	case s.FirstRun < 0 || s.FirstRun > maxDue:
+		return &InvalidSpecError{"first run", "Unix milliseconds up to the year 2200"}
+	case s.Interval < 0 || s.Interval > maxDuration:
+		return &InvalidSpecError{"interval", "0 to 366 days"}
 	}
-	tasks := 0
+	tasks, dependencies := 0, 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
 		}
+		// Each count is at most maxTasks, so that the sum cannot overflow.
 		tasks += s.Steps[i].Count
+		dependencies += len(s.Steps[i].After)
 	}
-	if tasks > maxTasks {
+	switch {
+	case tasks > maxTasks:
 		return &InvalidSpecError{"steps", fmt.Sprintf("at most %d tasks in all", maxTasks)}
+	case tasks*s.Occurrences() > maxAllTasks:
+		return &InvalidSpecError{"repeat count", fmt.Sprintf("at most %d tasks in all occurrences", maxAllTasks)}
+	case dependencies > maxDependencies:
+		return &InvalidSpecError{"after", fmt.Sprintf("at most %d dependencies in all", maxDependencies)}
 	}
 	return nil
 }
 
 func (s *Step) validate(index int) error {
 	field := fmt.Sprintf("steps[%d]", index)
-	if s.Count < 1 {
-		return &InvalidSpecError{field + " count", "at least 1"}
-	}
-	if r := s.Resources; r.CPU < 0 || r.MemoryMB < 0 || r.GPU < 0 {
-		return &InvalidSpecError{field + " resources", "at least 0"}
+	amounts := []int{s.Resources.CPU, s.Resources.MemoryMB, s.Resources.GPU, s.AntiAffinity, s.MaxUnavailable}
+	switch {
+	case s.Count < 1 || s.Count > maxTasks:
+		return &InvalidSpecError{field + " count", fmt.Sprintf("1 to %d", maxTasks)}
+	case slices.Min(amounts) < 0 || slices.Max(amounts) > maxTaskAmount:
+		return &InvalidSpecError{field + " resources and limits", fmt.Sprintf("0 to %d", maxTaskAmount)}
+	case s.Estimate < 0 || s.Estimate > maxDuration || s.LatencyTarget < 0 || s.LatencyTarget > maxDuration:
+		return &InvalidSpecError{field + " durations", "0 to 366 days"}
+	case len(s.Requires) > maxNameBytes || len(s.Affinity) > maxNameBytes || len(s.Image) > maxNameBytes:
+		return &InvalidSpecError{field + " names", fmt.Sprintf("at most %d bytes", maxNameBytes)}
 	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= index {
--- a/store/hedge/hedge.go
+++ b/store/hedge/hedge.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bronzehook/fault"
+	"bronzehook/recovery"
 	"bronzehook/store"
 )
 
@@ -45,12 +46,13 @@
 	lastAnswered atomic.Int64
 	budget       budget
 	repeated     prometheus.Counter
+	guard        *recovery.Guard
 }
 
 // New returns a table that hedges the calls to another one and registers its metric.
-func New(inner store.Table, registry prometheus.Registerer) *Table {
+func New(inner store.Table, registry prometheus.Registerer, guard *recovery.Guard) *Table {
 	t := &Table{
-		Table: inner, budget: budget{available: copyBurst, updatedAt: time.Now()},
+		Table: inner, guard: guard, budget: budget{available: copyBurst, updatedAt: time.Now()},
 		repeated: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "bronzehook", Name: "store_calls_repeated_total", Help: "Calls to the store that were sent again because their answer was overdue.",
 		}),
@@ -92,7 +94,11 @@
 	wait := recent.overdueAfter()
 	send := func(isCopy bool) {
 		sent := time.Now()
-		value, err := call()
+		var value T
+		var err error
+		if panicked := t.guard.Do("store call", func() { value, err = call() }); panicked != nil {
+			err = panicked
+		}
 		result := reply[T]{value, err}
 		if result.conclusive() {
 			recent.observe(time.Since(sent))
--- a/store/hedge/hedge_test.go
+++ b/store/hedge/hedge_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"bronzehook/fault"
+	"bronzehook/recovery"
 	"bronzehook/store"
 	"bronzehook/store/memory"
 )
@@ -84,7 +86,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			table := New(&lossyTable{Table: memory.New(), lose: c.lose, refuse: c.refuse}, prometheus.NewRegistry())
+			table := New(&lossyTable{Table: memory.New(), lose: c.lose, refuse: c.refuse}, prometheus.NewRegistry(), recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop()))
 			if c.busy {
 				busy := time.AfterFunc(overdueMargin/2, func() { table.recordAnswered(time.Now()) })
 				again := time.AfterFunc(3*overdueMargin/2, func() { table.recordAnswered(time.Now()) })
@@ -126,7 +128,7 @@
 // Guards against sending each call several times to a store that has just become slow, which would add to its queue.
 func TestFewCopiesToSlowStore(t *testing.T) {
 	inner := &slowTable{Table: memory.New()}
-	table := New(inner, prometheus.NewRegistry())
+	table := New(inner, prometheus.NewRegistry(), recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop()))
 	const commits = 8
 	for range commits {
 		if _, err := table.Commit(context.Background(), store.Txn{}); err != nil {
@@ -146,7 +148,7 @@
 // Guards against an unbounded number of copies while a store is unavailable.
 func TestCopiesAreBounded(t *testing.T) {
 	inner := &lossyTable{Table: memory.New(), lose: 1 << 20}
-	table := New(inner, prometheus.NewRegistry())
+	table := New(inner, prometheus.NewRegistry(), recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop()))
 	const callers = 40
 	var all sync.WaitGroup
 	for range callers {
