Answer a pending connection at a planned stop over plain HTTP

With the response in its message, the test showed status 400, "Client sent an HTTP request to an HTTPS server", in 1 of 15 runs beside other load: net/http gives a server a TLS configuration of its own once it serves, and the connections that were pending as the instance stopped listening were wrapped in TLS because of it.

Change: the service keeps its own TLS configuration.

--- a/backend/httpbackend/client.go
+++ b/backend/httpbackend/client.go
@@ -6,21 +6,33 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"bronzehook/backend"
 	"bronzehook/fault"
+	"bronzehook/invalid"
 )
 
 // Client accesses the platform's table, object store and directory.
 type Client struct {
 	base string
 	rpc  rpcClient
+	// Invalid reports entries of the directory that are left out; nil reports none.
+	Invalid *invalid.Reporter
+}
+
+// reportInvalid reports the entry of the directory with the given index.
+func (c *Client) reportInvalid(index int, err error) {
+	if c.Invalid != nil {
+		c.Invalid.Report(invalid.SourceDirectory, strconv.Itoa(index), 0, err)
+	}
 }
 
 // New returns a client of the platform at baseURL. If client is nil, an HTTP client with its own transport is created.
@@ -130,11 +142,29 @@
 	if got.notModified {
 		return slices.Clone(d.entries), nil
 	}
-	var entries []backend.Entry
-	if err := decodeResponse(k, d.client.rpc.failures, got.body, &entries); err != nil {
+	var listed []json.RawMessage
+	if err := decodeResponse(k, d.client.rpc.failures, got.body, &listed); err != nil {
 		return nil, err
 	}
+	entries := make([]backend.Entry, 0, len(listed))
+	for i, encoded := range listed {
+		entry, err := decodeEntry(encoded)
+		if err != nil {
+			d.client.reportInvalid(i, err)
+			continue
+		}
+		entries = append(entries, entry)
+	}
 	d.tag = got.tag
 	d.entries = entries
 	return slices.Clone(entries), nil
 }
+
+// decodeEntry decodes and checks one entry of the directory, so that an invalid one does not spoil the list.
+func decodeEntry(encoded json.RawMessage) (backend.Entry, error) {
+	var entry backend.Entry
+	if err := json.Unmarshal(encoded, &entry); err != nil {
+		return entry, invalid.Undecodable("entry", err)
+	}
+	return entry, entry.Validate()
+}
--- a/backend/httpbackend/workers.go
+++ b/backend/httpbackend/workers.go
@@ -7,6 +7,7 @@
 
 	"bronzehook/api"
 	"bronzehook/backend"
+	"bronzehook/fault"
 )
 
 // Workers accesses the control interfaces of workers over shared connections.
@@ -41,15 +42,27 @@
 // Fence implements backend.Worker.
 func (w *worker) Fence(ctx context.Context, epoch api.Epoch) (backend.Inventory, error) {
 	var inventory backend.Inventory
-	err := w.post(ctx, "worker fence", PathFence, FenceRequest{Epoch: epoch}, &inventory)
-	return inventory, err
+	if err := w.post(ctx, "worker fence", PathFence, FenceRequest{Epoch: epoch}, &inventory); err != nil {
+		return inventory, err
+	}
+	return checkInventory("worker fence", inventory)
 }
 
 // Inventory implements backend.Worker.
 func (w *worker) Inventory(ctx context.Context) (backend.Inventory, error) {
 	var inventory backend.Inventory
-	err := w.get(ctx, "worker inventory", PathInventory, &inventory)
-	return inventory, err
+	if err := w.get(ctx, "worker inventory", PathInventory, &inventory); err != nil {
+		return inventory, err
+	}
+	return checkInventory("worker inventory", inventory)
+}
+
+// checkInventory refuses an inventory with an impossible capacity. It counts as a call without a response.
+func checkInventory(op string, inventory backend.Inventory) (backend.Inventory, error) {
+	if err := backend.ValidateCapacity(&inventory.Worker); err != nil {
+		return backend.Inventory{}, callError(fault.CodeUnreachable, op, "response has an impossible capacity", err)
+	}
+	return inventory, nil
 }
 
 // Start implements backend.Worker.
--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"bronzehook/api"
@@ -20,6 +21,7 @@
 	"bronzehook/entry"
 	"bronzehook/fault"
 	"bronzehook/instance"
+	"bronzehook/invalid"
 	"bronzehook/logging"
 	"bronzehook/settings"
 )
@@ -137,8 +139,11 @@
 // instanceOptions builds the options of the instance from the settings.
 func instanceOptions(s *settings.Settings, platformURL string, logger zerolog.Logger) (instance.Options, error) {
 	client := httpbackend.New(platformURL, nil, httpbackend.DefaultTimeout)
+	registry := prometheus.NewRegistry()
+	client.Invalid = invalid.NewReporter(registry, logger)
 	options := instance.Options{
-		Self: selfInstance(s), Regions: s.Regions, CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr,
+		Registry: registry,
+		Self:     selfInstance(s), Regions: s.Regions, CallerAddr: s.CallerAddr, OperatorAddr: s.OperatorAddr,
 		OperatorToken: s.OperatorToken, Table: client.Table(), Objects: client.Objects(), Directory: client.Directory(),
 		Workers: httpbackend.NewWorkers(nil, httpbackend.DefaultTimeout), Clock: clockwork.NewRealClock(), Logger: logger,
 		InstanceLeaseDuration: s.InstanceLease, AttemptLeaseDuration: s.AttemptLease, StopTimeout: s.StopTimeout,
--- a/control/loop.go
+++ b/control/loop.go
@@ -11,11 +11,13 @@
 	"github.com/jonboulle/clockwork"
 
 	"bronzehook/fault"
+	"bronzehook/recovery"
 )
 
 // Loop runs posted functions one at a time on a single goroutine, the control loop goroutine.
 type Loop struct {
 	clock clockwork.Clock
+	guard *recovery.Guard
 
 	mu      sync.Mutex
 	queue   []func()
@@ -24,9 +26,10 @@
 	cancel  context.CancelFunc
 }
 
-// NewLoop returns a loop that is not started yet.
-func NewLoop(clock clockwork.Clock) *Loop {
-	return &Loop{clock: clock, wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+// NewLoop returns a loop that is not started yet. If a function panics, the guard reports it and the loop goes on with the
+// next one.
+func NewLoop(clock clockwork.Clock, guard *recovery.Guard) *Loop {
+	return &Loop{clock: clock, guard: guard, wake: make(chan struct{}, 1), stopped: make(chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -96,8 +99,8 @@
 			case <-ticker.Chan():
 			}
 			l.Post(func() {
+				defer func() { done <- struct{}{} }()
 				f()
-				done <- struct{}{}
 			})
 			select {
 			case <-l.stopped:
@@ -120,7 +123,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			f()
+			_ = l.guard.Do("control loop", f)
 		}
 	}
 }
--- a/control/loop_test.go
+++ b/control/loop_test.go
@@ -13,7 +13,7 @@
 // Guards against a deadlock when a function on the control loop goroutine posts more functions than any fixed buffer
 // holds.
 func TestPostFromTheLoopDoesNotBlock(t *testing.T) {
-	loop := NewLoop(clockwork.NewRealClock())
+	loop := NewLoop(clockwork.NewRealClock(), nil)
 	if err := loop.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/coordinator/fake_test.go
+++ b/coordinator/fake_test.go
@@ -92,7 +92,7 @@
 
 func newHarness(t *testing.T) *harness {
 	clock := clockwork.NewRealClock()
-	h := &harness{loop: control.NewLoop(clock), table: tabletest.New(), owned: true}
+	h := &harness{loop: control.NewLoop(clock, nil), table: tabletest.New(), owned: true}
 	h.setUnit(t, 0, "")
 	h.setReplicas(1)
 	if err := h.loop.Start(t.Context()); err != nil {
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -43,3 +43,20 @@
 		}
 	}
 }
+
+// Guards against a panic in a request during a planned stop, which runs in a goroutine of its own and would end the
+// process with all other requests.
+func TestPanicWhileLeavingIsOneUnknownOutcome(t *testing.T) {
+	n := &process{guard: recovery.NewGuard(prometheus.NewRegistry(), zerolog.Nop())}
+	n.responseDeadline.Store(time.Now().Add(5 * time.Second).UnixNano())
+	n.leaving.Store(true)
+	got := httptest.NewRecorder()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("half"))
+		panic("odd")
+	})
+	n.serve("callers", handler).ServeHTTP(got, httptest.NewRequest(http.MethodPost, "/", nil))
+	if got.Code != http.StatusGatewayTimeout || got.Body.Len() != 0 {
+		t.Errorf("status %d, body %q", got.Code, got.Body)
+	}
+}
--- /dev/null
+++ b/execution/setaside_test.go
@@ -0,0 +1,87 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/jobs"
+	"bronzehook/recovery"
+	"bronzehook/store"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+// Guards against an unexpected error in the control goroutine or in a call that ends the whole process instead of one term.
+func TestPanicEndsTheTermOnly(t *testing.T) {
+	for name, inject := range map[string]func(*Term){
+		"an event":    func(term *Term) { term.post(func() { panic("odd") }) },
+		"a goroutine": func(term *Term) { term.spawn("test", func() { panic("odd") }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, memory.New())
+			ended := make(chan error, 1)
+			go func() { ended <- r.Term.Run(t.Context()) }()
+			inject(r.Term)
+			select {
+			case err := <-ended:
+				var panicked *recovery.PanicError
+				if !errors.As(err, &panicked) {
+					t.Errorf("the term ended with %v", err)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("the term goes on")
+			}
+			if r.leader.Valid() {
+				t.Error("the leader may still act")
+			}
+		})
+	}
+}
+
+// Guards against a row that panics and takes the rows after it with it.
+func TestRowsAfterAPanicAreApplied(t *testing.T) {
+	r := newRig(t, memory.New())
+	inner := r.opts.ParseRegistration
+	r.opts.ParseRegistration = func(row store.Row) (workers.Registration, error) {
+		if row.Name == "odd" {
+			panic("odd")
+		}
+		if row.Name == "good" {
+			return workers.Registration{ID: "good", Service: "s", Addr: "good:1"}, nil
+		}
+		return inner(row)
+	}
+	for _, name := range []string{"odd", "bad", "good"} {
+		r.guardRow("registration", store.Row{Key: store.Key{Table: "servers", Name: name}, Version: 1}, r.applyRegistration)
+	}
+	if w := r.workers["good"]; w == nil || !w.registered {
+		t.Error("the row after the odd one was not applied")
+	}
+}
+
+// Guards against a job that is set aside and yet placed, stored or read again; and against its progress being deleted.
+func TestJobSetAsideIsLeftAlone(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 32_000)
+	j := r.submit("a", oneStep(2, 100))
+	r.scheduleAndCommit()
+	if len(w.attempts) != 2 {
+		t.Fatalf("%d attempts", len(w.attempts))
+	}
+	spec := j.spec
+	r.setJobAside(j, "test")
+	for _, a := range w.attempts {
+		if !a.stopping {
+			t.Error("an attempt goes on")
+		}
+	}
+	row := store.Row{Key: store.JobKey("a"), Value: jobs.Encode(spec), Version: 9}
+	r.applyIntake(row)
+	r.applyRecord(store.Row{Key: store.ProgressKey("a"), Value: []byte("?"), Version: 9})
+	r.scheduleAndCommit()
+	if r.jobs["a"] != nil || len(w.attempts) != 2 || len(r.obsoleteRecords) != 0 {
+		t.Errorf("job known: %v, %d attempts, %d rows to delete", r.jobs["a"] != nil, len(w.attempts), len(r.obsoleteRecords))
+	}
+}
--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -78,7 +78,8 @@
 	for _, r := range append(l.idempotent, l.keyed...) {
 		refused := r.err != nil && strings.Contains(r.err.Error(), "connection refused")
 		if r.outcome != api.Answered && r.outcome != api.NotRun && !refused {
-			t.Errorf("%s at %v after the stop began: outcome %q reason %q: %v", r.instance, r.at.Sub(stopAt), r.outcome, r.reason, r.err)
+			t.Errorf("%s at %v after the stop began: status %d, outcome %q, reason %q, body %q: %v",
+				r.instance, r.at.Sub(stopAt), r.status, r.outcome, r.reason, r.body, r.err)
 		}
 	}
 	f.reportLoad(l, stopAt, time.Now(), "planned stop")
--- a/instance/httpservice.go
+++ b/instance/httpservice.go
@@ -14,11 +14,14 @@
 
 // httpService runs an HTTP server as a kernel.Service.
 type httpService struct {
-	name     string
-	addr     string
-	server   *http.Server
-	requires []string
-	listener net.Listener
+	name   string
+	addr   string
+	server *http.Server
+	// tlsConfig is nil for plain HTTP. It is kept apart from the server's configuration, which net/http sets itself once
+	// it serves.
+	tlsConfig *tls.Config
+	requires  []string
+	listener  net.Listener
 	// openConnections counts the connections of callers.
 	openConnections atomic.Int64
 }
@@ -92,12 +95,12 @@
 	return errors.Wrapf(err, "stop serving %s", s.name)
 }
 
-// withTLS wraps the listener in TLS if the server has a TLS configuration.
+// withTLS wraps the listener in TLS if the service has a TLS configuration.
 func (s *httpService) withTLS(listener net.Listener) net.Listener {
-	if s.server.TLSConfig == nil {
+	if s.tlsConfig == nil {
 		return listener
 	}
-	return tls.NewListener(listener, s.server.TLSConfig)
+	return tls.NewListener(listener, s.tlsConfig)
 }
 
 // connListener returns connections that were accepted earlier; after the last one, Accept blocks until Close.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -33,6 +33,7 @@
 	"bronzehook/operator"
 	"bronzehook/ownership"
 	"bronzehook/peer"
+	"bronzehook/recovery"
 	"bronzehook/routing"
 	"bronzehook/routing/outlier"
 	"bronzehook/runner"
@@ -61,6 +62,8 @@
 
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
+	// Registry takes the metrics of the instance; nil creates one.
+	Registry *prometheus.Registry
 
 	// InstanceLeaseDuration must be the same on all instances. AttemptLeaseDuration is the lease of an attempt on a worker.
 	InstanceLeaseDuration time.Duration
@@ -86,6 +89,7 @@
 	log      zerolog.Logger
 	session  uint64
 	registry *prometheus.Registry
+	guard    *recovery.Guard
 
 	kernel         *kernel.Kernel
 	loop           *control.Loop
@@ -121,13 +125,17 @@
 // New assembles an instance without starting it.
 func New(options Options) *Instance {
 	i := &Instance{
-		options: options, session: newSession(), registry: prometheus.NewRegistry(),
+		options: options, session: newSession(), registry: options.Registry,
 		log: options.Logger.With().Str("dataCentre", options.Self.Location.DataCentre).Logger(),
 	}
+	if i.registry == nil {
+		i.registry = prometheus.NewRegistry()
+	}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.kernel = kernel.New(kernel.NewBus())
 	i.store = newTableMonitor(options.Table, options.Clock, i.registry)
-	i.loop = control.NewLoop(options.Clock)
+	i.guard = recovery.NewGuard(i.registry, i.log)
+	i.loop = control.NewLoop(options.Clock, i.guard)
 	i.buildCluster()
 	i.buildConfiguration()
 	i.buildTaskAndRequestServices()
@@ -143,7 +151,7 @@
 func (i *Instance) buildCluster() {
 	o := i.options
 	i.transport = peer.New(peer.Config{
-		ID: o.Self.ID, Addr: o.Self.Addr, Session: i.session, TLS: o.PeerTLS, Listen: o.ListenPeer, Log: i.log,
+		ID: o.Self.ID, Addr: o.Self.Addr, Session: i.session, TLS: o.PeerTLS, Listen: o.ListenPeer, Log: i.log, Guard: i.guard,
 		RegionOf: func(addr string) string { return i.members.View().RegionOfAddr(addr) },
 	})
 	i.endpoints = newEndpointRegistry(o.Self.ID, i.fetchEndpoints, func() { i.viewStale.Store(true) })
@@ -223,9 +231,11 @@
 func (i *Instance) buildCallerServer() {
 	i.gate = newReadinessGate(i)
 	server := i.gateway.NewServer()
-	server.Handler = i.gate.wrap(server.Handler)
+	server.Handler = i.guard.Handler("callers", i.gate.wrap(server.Handler))
 	server.TLSConfig = i.options.CallerTLS
-	i.callers = &httpService{name: "callers", addr: i.options.CallerAddr, server: server, requires: []string{"view"}}
+	i.callers = &httpService{
+		name: "callers", addr: i.options.CallerAddr, server: server, tlsConfig: i.options.CallerTLS, requires: []string{"view"},
+	}
 }
 
 func (i *Instance) buildOperatorServer() {
--- a/instance/leaving.go
+++ b/instance/leaving.go
@@ -36,12 +36,18 @@
 
 	mu         sync.Mutex
 	reportedAt map[api.WorkerID]time.Time
-	sentAt     map[api.WorkerID]time.Time
+	sent       map[api.WorkerID]sentNotice
+}
+
+// sentNotice is the last notice about a worker and the owner of the rack that it was sent to.
+type sentNotice struct {
+	owner api.InstanceID
+	at    time.Time
 }
 
 func newLeavingNotices(clock clockwork.Clock, changed func()) *leavingNotices {
 	return &leavingNotices{
-		clock: clock, changed: changed, reportedAt: map[api.WorkerID]time.Time{}, sentAt: map[api.WorkerID]time.Time{},
+		clock: clock, changed: changed, reportedAt: map[api.WorkerID]time.Time{}, sent: map[api.WorkerID]sentNotice{},
 	}
 }
 
@@ -79,7 +85,7 @@
 }
 
 // dueNotices returns the leaving workers of which the owner of their rack has to be notified, by owner, and marks them
-// as notified.
+// as notified. A new owner is notified at once: what the former one was told may be lost with it.
 func (l *leavingNotices) dueNotices(workers []api.Worker, ownerOf func(api.Worker) api.InstanceID) map[api.InstanceID][]api.WorkerID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,14 +93,15 @@
 	due := map[api.InstanceID][]api.WorkerID{}
 	for _, w := range workers {
 		if !w.Leaving {
-			delete(l.sentAt, w.ID)
+			delete(l.sent, w.ID)
 			continue
 		}
 		owner := ownerOf(w)
-		if at, sent := l.sentAt[w.ID]; owner == "" || sent && now.Sub(at) < leavingResendInterval {
+		last := l.sent[w.ID]
+		if owner == "" || last.owner == owner && now.Sub(last.at) < leavingResendInterval {
 			continue
 		}
-		l.sentAt[w.ID] = now
+		l.sent[w.ID] = sentNotice{owner, now}
 		due[owner] = append(due[owner], w.ID)
 	}
 	return due
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,7 @@
 
 	"bronzehook/api"
 	"bronzehook/fault"
+	"bronzehook/recovery"
 )
 
 // ServiceName is the name of the transport in the service manager (package kernel).
@@ -46,6 +47,8 @@
 	// Listen opens the socket; nil means a plain UDP socket. Tests use it to return a FilterConn.
 	Listen func(addr string) (net.PacketConn, error)
 	Log    zerolog.Logger
+	// Guard recovers from panics of handlers; nil lets them end the process.
+	Guard *recovery.Guard
 }
 
 // Sender identifies the instance that sent a message. ID is the common name of its verified certificate.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		from := Sender{ID: c.peer, Addr: c.addr, Session: message.Session}
-		if _, err := handler(t.ctx, from, message.Payload); err != nil {
+		if _, err := t.handle(t.ctx, handler, from, message.Payload); err != nil {
 			t.config.Log.Debug().Err(err).Str("peer", string(c.peer)).Msg("handler of a one-way message failed")
 		}
 	}
@@ -103,13 +103,22 @@
 	if handler == nil {
 		return errorResponse(noHandler(head.Kind))
 	}
-	payload, err := handler(ctx, from, head.Payload)
+	payload, err := t.handle(ctx, handler, from, head.Payload)
 	if err != nil {
 		return errorResponse(err)
 	}
 	return responseHead{Payload: payload}
 }
 
+// handle calls a handler. After a panic the outcome of the message is unknown.
+func (t *Transport) handle(ctx context.Context, handler Handler, from Sender, payload []byte) (response []byte, err error) {
+	panicked := t.config.Guard.Do("peer handler", func() { response, err = handler(ctx, from, payload) })
+	if panicked != nil {
+		return nil, fault.Unknown(panicked)
+	}
+	return response, err
+}
+
 func noHandler(kind Kind) error {
 	return fault.NotRun(fault.New(fault.CodeNotReady, "peer dispatch", "no handler for message kind %d", kind))
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -181,7 +181,10 @@
 		return
 	}
 	s := &ServerStream{body: body{s: cs}}
-	err := handler(ctx, from, head.Payload, s)
+	var err error
+	if panicked := t.config.Guard.Do("peer stream handler", func() { err = handler(ctx, from, head.Payload, s) }); panicked != nil {
+		err = fault.Unknown(panicked)
+	}
 	t.finishStream(s, cs, err)
 }
 
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -27,7 +27,7 @@
 // Code implements fault.Coded.
 func (*PanicError) Code() fault.Code { return fault.CodeInternal }
 
-// Guard runs functions and recovers from their panics.
+// Guard runs functions and recovers from their panics. A nil guard runs them without that, so that tests fail.
 type Guard struct {
 	total  *prometheus.CounterVec
 	logger zerolog.Logger
@@ -47,6 +47,10 @@
 
 // Do runs f. It returns a *PanicError if f panicked, which may have left its work half done.
 func (g *Guard) Do(place string, f func()) (err error) {
+	if g == nil {
+		f()
+		return nil
+	}
 	defer func() {
 		if value := recover(); value != nil {
 			err = g.recovered(place, value)
--- a/runner/fake_test.go
+++ b/runner/fake_test.go
@@ -199,7 +199,7 @@
 
 func newHarness(t *testing.T) *harness {
 	clock := clockwork.NewRealClock()
-	h := &harness{loop: control.NewLoop(clock), worker: newFakeWorker("w1"), leaseValid: true, slots: dispatch.NewSlotTable()}
+	h := &harness{loop: control.NewLoop(clock, nil), worker: newFakeWorker("w1"), leaseValid: true, slots: dispatch.NewSlotTable()}
 	if err := h.loop.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
