Let other instances make the leader's calls to workers in large fleets

Change: package carrier. Above 800 workers for each core of the leader, workers are assigned to carriers, other large instances that make the calls and send back the results, both in batches over one connection. The fencing token for a worker grows with its carrier. A carrier that is lost, silent, lagging or leaving is replaced.

--- a/capacity/coordinator_test.go
+++ b/capacity/coordinator_test.go
@@ -137,7 +137,7 @@
 	}
 	b.Coordinator = coordinator.New(coordinator.Options{
 		Self: selfID, Clock: clock, Loop: b.loop, Table: table, Cluster: cluster, Sender: cluster, Logger: zerolog.Nop(),
-		AttemptLease: attemptLease, NewOpID: rollout.NewOpID, Audit: func(coordinator.Event) {},
+		Objects: fake.NewPlatform(clock).Objects(), AttemptLease: attemptLease, NewOpID: rollout.NewOpID, Audit: func(coordinator.Event) {},
 		Decider: coordinator.NewEngineDecider(scheduler.DefaultOptions(), benchSeed),
 	})
 	if err := b.Start(context.Background()); err != nil {
--- /dev/null
+++ b/carrier/link.go
@@ -0,0 +1,241 @@
+package carrier
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/leadership"
+	"bronzehook/recovery"
+	"bronzehook/workers"
+)
+
+const (
+	dialTimeout = time.Second
+	// silenceLimit is the time without a frame after which a carrier counts as lost. It is above the pauses of a small
+	// instance that waits for its share of a processor.
+	silenceLimit = 600 * time.Millisecond
+	// maxLag is how far a carrier may lag behind the frames sent to it, beyond which it counts as lost.
+	maxLag = 700 * time.Millisecond
+)
+
+// link is the leader's end of a connection to a carrier.
+type link struct {
+	conn  net.Conn
+	clock leadership.Clock
+	texts *textCache
+
+	mu      sync.Mutex
+	queue   []call
+	pending map[uint64]chan result
+	lastID  uint64
+	failed  error
+	wake    chan struct{}
+	closed  chan struct{}
+	// lastSent is Sent of the last frame.
+	lastSent atomic.Int64
+	// onLeaving is called once when the carrier starts to shut down.
+	onLeaving func()
+	leaving   bool
+}
+
+// dialLink connects to the carrier at addr.
+func dialLink(ctx context.Context, addr string, clock leadership.Clock, guard *recovery.Guard, onLeaving func(), onLost func(error)) (*link, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial a carrier")
+	}
+	reader := bufio.NewReader(&silenceReader{conn})
+	if err := upgrade(conn, reader, addr); err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	l := &link{
+		conn: conn, clock: clock, texts: newTextCache(), pending: make(map[uint64]chan result), wake: make(chan struct{}, 1),
+		closed: make(chan struct{}), onLeaving: onLeaving,
+	}
+	go guard.Do("carrier calls", l.writeCalls)
+	go func() {
+		err := guard.Do("carrier results", func() { l.fail(l.readResults(reader)) })
+		if err != nil {
+			l.fail(err)
+		}
+		onLost(l.failed)
+	}()
+	return l, nil
+}
+
+// upgrade asks the server at addr to take over the connection as a carrier.
+func upgrade(conn net.Conn, reader *bufio.Reader, addr string) error {
+	request, err := http.NewRequest(http.MethodGet, "http://"+addr+Path, nil)
+	if err != nil {
+		return errors.Wrap(err, "create the request to a carrier")
+	}
+	request.Header.Set("Connection", "Upgrade")
+	request.Header.Set("Upgrade", upgradeProtocol)
+	if err := conn.SetWriteDeadline(time.Now().Add(dialTimeout)); err != nil {
+		return errors.Wrap(err, "set a deadline")
+	}
+	if err := request.Write(conn); err != nil {
+		return errors.Wrap(err, "send the request to a carrier")
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return errors.Wrap(err, "read the response of a carrier")
+	}
+	if response.StatusCode != http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return errors.WithStack(&RefusedError{Status: response.StatusCode})
+	}
+	return nil
+}
+
+// silenceReader reads from a connection until it is silent for silenceLimit.
+type silenceReader struct{ net.Conn }
+
+// Read implements io.Reader. After a time-out it tries once more for a moment: if this process itself was paused, the
+// deadline has passed although data has arrived.
+func (r *silenceReader) Read(buffer []byte) (int, error) {
+	n, err := r.readWithin(buffer, silenceLimit)
+	var failure net.Error
+	if n == 0 && errors.As(err, &failure) && failure.Timeout() {
+		return r.readWithin(buffer, silenceLimit/4)
+	}
+	return n, err
+}
+
+func (r *silenceReader) readWithin(buffer []byte, limit time.Duration) (int, error) {
+	if err := r.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, errors.Wrap(err, "set a read deadline")
+	}
+	return r.Conn.Read(buffer)
+}
+
+// do makes a call through the carrier. After an error the call may have been made.
+func (l *link) do(ctx context.Context, request call) (result, error) {
+	answer := make(chan result, 1)
+	l.mu.Lock()
+	if l.failed != nil {
+		defer l.mu.Unlock()
+		return result{}, l.failed
+	}
+	l.lastID++
+	request.ID = l.lastID
+	l.pending[request.ID] = answer
+	l.queue = append(l.queue, request)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-l.closed:
+		return result{}, l.failed
+	case <-ctx.Done():
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.pending, request.ID)
+		return result{}, errors.WithStack(ctx.Err())
+	}
+}
+
+// fail ends the link and all its calls.
+func (l *link) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return
+	}
+	l.failed = errors.WithStack(&LostError{Cause: err})
+	close(l.closed)
+	_ = l.conn.Close()
+}
+
+// writeCalls sends calls in batches, and an empty frame when there are none for aliveInterval.
+func (l *link) writeCalls() {
+	alive := time.NewTicker(aliveInterval)
+	defer alive.Stop()
+	for {
+		select {
+		case <-l.closed:
+			return
+		case <-alive.C:
+		case <-l.wake:
+			time.Sleep(batchDelay)
+		}
+		l.mu.Lock()
+		calls := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for i := range calls {
+			l.omitKnownText(&calls[i])
+		}
+		sent := milliseconds(l.clock())
+		l.lastSent.Store(sent)
+		if err := writeFrame(l.conn, &callFrame{Sent: sent, Calls: calls}); err != nil {
+			l.fail(err)
+			return
+		}
+	}
+}
+
+// omitKnownText leaves out the text of a start if the carrier has it.
+func (l *link) omitKnownText(request *call) {
+	if request.Kind != kindStart {
+		return
+	}
+	if _, request.TextKnown = l.texts.get(request.Task.Job); request.TextKnown {
+		request.Text = ""
+		return
+	}
+	l.texts.put(request.Task.Job, "")
+}
+
+// readResults reads results until the connection ends or the carrier is silent or lags for too long.
+func (l *link) readResults(reader *bufio.Reader) error {
+	for {
+		var frame resultFrame
+		if err := readFrame(reader, &frame); err != nil {
+			return err
+		}
+		l.deliver(frame.Results)
+		if frame.Leaving && !l.leaving {
+			l.leaving = true
+			l.onLeaving()
+		}
+		// The lag is that behind the last frame sent, so that a pause of this process does not count.
+		if lag := l.lastSent.Load() - frame.Heard; frame.Heard > 0 && lag > maxLag.Milliseconds() {
+			return errors.WithStack(&LagError{Lag: time.Duration(lag) * time.Millisecond})
+		}
+	}
+}
+
+func (l *link) deliver(results []result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range results {
+		if answer := l.pending[results[i].ID]; answer != nil {
+			delete(l.pending, results[i].ID)
+			answer <- results[i]
+		}
+	}
+}
+
+// errorOf returns the error that the same call would have had without a carrier.
+func (r *result) errorOf(id workers.ID) error {
+	switch {
+	case r.Refused != "":
+		return errors.WithStack(&workers.RefusedError{Worker: id, Reason: r.Refused})
+	case r.Failure != "":
+		return errors.WithStack(&workers.UnreachableError{Worker: id, Detail: r.Failure})
+	}
+	return nil
+}
--- /dev/null
+++ b/carrier/pool.go
@@ -0,0 +1,349 @@
+package carrier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"bronzehook/jobs"
+	"bronzehook/leadership"
+	"bronzehook/recovery"
+	"bronzehook/workers"
+)
+
+const (
+	// directWorkersPerCore is the number of workers that a leader calls itself for each core that it may use. Above it,
+	// calls cost more of its processor than decisions.
+	directWorkersPerCore = 800
+	// workersPerCore is the number of workers that a carrier is to have for each core that it may use: it serves callers,
+	// too.
+	workersPerCore = 320
+	// minCarrierShare is the least share of a core of a carrier. With less, calls wait for the processor.
+	minCarrierShare = 0.25
+	maxCarriers     = 32
+	// retryAfterLoss is the time after which a lost carrier is used again. It is longer than the time within which a
+	// worker may not change to and fro between callers.
+	retryAfterLoss = 15 * time.Second
+	// connectInterval is the time between two tries to connect to more carriers.
+	connectInterval = 500 * time.Millisecond
+	// memberReadInterval is the least time between two reads of the instances.
+	memberReadInterval = 4 * time.Second
+)
+
+// Pool implements workers.Client with carriers and, for workers without one, with a client of its own.
+type Pool struct {
+	self     string
+	cpuShare float64
+	direct   workers.Client
+	members  MembersFunc
+	clock    leadership.Clock
+	guard    *recovery.Guard
+	logger   zerolog.Logger
+	calls    *prometheus.CounterVec
+
+	mu sync.Mutex
+	// ctx is that of the present term; nil between terms. stop ends it.
+	ctx      context.Context
+	stop     context.CancelFunc
+	onLost   func(name string)
+	fleet    int
+	carriers map[string]*carrier
+	// lostAt holds when carriers were lost last.
+	lostAt map[string]time.Time
+}
+
+// carrier is an instance that makes calls for this one.
+type carrier struct {
+	link  *link
+	share float64
+	// assigned counts the workers that were assigned to it.
+	assigned int
+	leaving  bool
+}
+
+// MembersFunc reads the instances that may be carriers.
+type MembersFunc func(ctx context.Context) ([]leadership.Member, error)
+
+// NewPool returns a pool of the instance named self, which may use cpuShare of a core.
+func NewPool(
+	self string, cpuShare float64, direct workers.Client, members MembersFunc, clock leadership.Clock, guard *recovery.Guard,
+	logger zerolog.Logger, registry prometheus.Registerer,
+) *Pool {
+	p := &Pool{
+		self: self, cpuShare: cpuShare, direct: direct, members: members, clock: clock, guard: guard, logger: logger,
+		carriers: make(map[string]*carrier), lostAt: make(map[string]time.Time),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "bronzehook", Name: "carried_calls_total", Help: "Calls to workers made by other instances, by result.",
+		}, []string{"result"}),
+	}
+	registry.MustRegister(p.calls)
+	return p
+}
+
+// Begin starts a term. lost is called, on another goroutine, when a carrier that workers are assigned to is no longer to be
+// used.
+func (p *Pool) Begin(lost func(name string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	p.ctx, p.stop, p.onLost, p.fleet = ctx, stop, lost, 0
+	go p.guard.Do("carrier connections", func() { p.connectUntil(ctx) })
+}
+
+// End ends a term and its connections.
+func (p *Pool) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx == nil {
+		return
+	}
+	p.stop()
+	for name, c := range p.carriers {
+		go c.link.fail(context.Canceled)
+		delete(p.carriers, name)
+	}
+	p.ctx, p.onLost = nil, nil
+}
+
+// Assign returns the carrier for the calls to one more worker of a fleet; empty if this instance is to make them itself.
+func (p *Pool) Assign(fleet int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet = fleet
+	if !p.needed() {
+		return ""
+	}
+	chosen := ""
+	for name, c := range p.carriers {
+		if !c.leaving && (chosen == "" || c.load() < p.carriers[chosen].load()) {
+			chosen = name
+		}
+	}
+	if chosen != "" {
+		p.carriers[chosen].assigned++
+	}
+	return chosen
+}
+
+// Release notes that a worker is no longer assigned to a carrier.
+func (p *Pool) Release(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.carriers[name]; c != nil {
+		c.assigned--
+	}
+}
+
+// load is the number of assigned workers for each core.
+func (c *carrier) load() float64 { return float64(c.assigned) / c.share }
+
+// needed reports whether the fleet is too large for this instance alone.
+func (p *Pool) needed() bool { return float64(p.fleet) > directWorkersPerCore*p.cpuShare }
+
+// connectUntil connects to carriers as the fleet needs them, until the term ends.
+func (p *Pool) connectUntil(ctx context.Context) {
+	var nextRead time.Duration
+	var members []leadership.Member
+	for ctx.Err() == nil {
+		if now := p.clock(); p.lacking() > 0 && now >= nextRead {
+			read, err := p.members(ctx)
+			nextRead = now + memberReadInterval
+			if err == nil {
+				members = read
+			}
+		}
+		for _, m := range p.missing(members) {
+			p.connect(ctx, m)
+		}
+		leadership.Sleep(ctx, connectInterval)
+	}
+}
+
+// lacking returns how many cores of further carriers the fleet needs.
+func (p *Pool) lacking() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lackingLocked()
+}
+
+func (p *Pool) lackingLocked() float64 {
+	if !p.needed() {
+		return 0
+	}
+	lacking := float64(p.fleet) / workersPerCore
+	for _, c := range p.carriers {
+		lacking -= c.share
+	}
+	return lacking
+}
+
+// missing returns the members to connect to.
+func (p *Pool) missing(members []leadership.Member) []leadership.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lacking := p.lackingLocked()
+	var missing []leadership.Member
+	for _, m := range p.candidates(members) {
+		if lacking <= 0 || len(p.carriers)+len(missing) >= maxCarriers {
+			break
+		}
+		lacking -= usableShare(m)
+		missing = append(missing, m)
+	}
+	return missing
+}
+
+// candidates returns the members that may become carriers, the best suited first.
+func (p *Pool) candidates(members []leadership.Member) []leadership.Member {
+	var candidates []leadership.Member
+	for _, m := range members {
+		if m.Name == p.self || m.Addr == "" || m.CPUShare < minCarrierShare || p.carriers[m.Name] != nil {
+			continue
+		}
+		if lostAt, lost := p.lostAt[m.Name]; lost && time.Since(lostAt) < retryAfterLoss {
+			continue
+		}
+		candidates = append(candidates, m)
+	}
+	slices.SortFunc(candidates, func(a, b leadership.Member) int { return leadership.CompareFitness(&a, &b) })
+	return candidates
+}
+
+// usableShare returns the share of a core that a carrier can use: it makes calls on one thread at a time.
+func usableShare(m leadership.Member) float64 { return min(1, m.CPUShare) }
+
+func (p *Pool) connect(ctx context.Context, m leadership.Member) {
+	l, err := dialLink(ctx, m.Addr, p.clock, p.guard, func() { p.leave(m.Name) }, func(err error) { p.lose(m.Name, err) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.lostAt[m.Name] = time.Now()
+		p.logger.Warn().Str("peer", m.Name).AnErr("error", err).Msg("no carrier")
+		return
+	}
+	if ctx.Err() != nil {
+		go l.fail(ctx.Err())
+		return
+	}
+	p.carriers[m.Name] = &carrier{link: l, share: usableShare(m)}
+	p.logger.Info().Str("peer", m.Name).Float64("cpu_share", m.CPUShare).Int("fleet", p.fleet).Msg("carrier connected")
+}
+
+// leave stops assigning workers to a carrier that shuts down. Calls in flight still get their results.
+func (p *Pool) leave(name string) {
+	p.mu.Lock()
+	c, lost := p.carriers[name], p.onLost
+	if c != nil {
+		c.leaving = true
+	}
+	p.mu.Unlock()
+	if c != nil && lost != nil {
+		lost(name)
+	}
+}
+
+// lose forgets a carrier.
+func (p *Pool) lose(name string, err error) {
+	p.mu.Lock()
+	c, lost := p.carriers[name], p.onLost
+	p.lostAt[name] = time.Now()
+	if c == nil || lost == nil {
+		p.mu.Unlock()
+		return
+	}
+	delete(p.carriers, name)
+	p.mu.Unlock()
+	p.logger.Warn().Str("peer", name).Int("workers", c.assigned).AnErr("error", err).Msg("carrier lost")
+	lost(name)
+}
+
+// linkOf returns the link that a call goes over; nil if this instance makes it itself.
+func (p *Pool) linkOf(target workers.Target) (*link, error) {
+	if target.Via == "" {
+		return nil, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.carriers[target.Via]
+	if c == nil {
+		return nil, &workers.UnreachableError{Worker: target.ID, Detail: "its carrier " + target.Via + " is lost"}
+	}
+	return c.link, nil
+}
+
+// carry makes a call over a link.
+func (p *Pool) carry(ctx context.Context, l *link, target workers.Target, request call) (result, error) {
+	request.Worker, request.Addr, request.FencingToken = target.ID, target.Addr, target.FencingToken
+	got, err := l.do(ctx, request)
+	if err != nil {
+		p.calls.WithLabelValues("lost").Inc()
+		return got, &workers.UnreachableError{Worker: target.ID, Detail: err.Error()}
+	}
+	p.calls.WithLabelValues("answered").Inc()
+	return got, got.errorOf(target.ID)
+}
+
+// Start implements workers.Client.
+func (p *Pool) Start(ctx context.Context, command workers.Start) (int64, error) {
+	l, err := p.linkOf(command.Target)
+	switch {
+	case err != nil:
+		return 0, err
+	case l == nil:
+		return p.direct.Start(ctx, command)
+	}
+	got, err := p.carry(ctx, l, command.Target, call{
+		Kind: kindStart, Task: wireTask(command.Task), Attempt: command.Attempt, Text: command.Text, Checkpoint: command.Checkpoint,
+		Ticket: command.Ticket, LeaseExpiry: command.LeaseExpiry,
+	})
+	return got.Clock, err
+}
+
+// Stop implements workers.Client.
+func (p *Pool) Stop(ctx context.Context, target workers.Target, stopped jobs.Task, attempt int) error {
+	l, err := p.linkOf(target)
+	switch {
+	case err != nil:
+		return err
+	case l == nil:
+		return p.direct.Stop(ctx, target, stopped, attempt)
+	}
+	_, err = p.carry(ctx, l, target, call{Kind: kindStop, Task: wireTask(stopped), Attempt: attempt})
+	return err
+}
+
+// Throttle implements workers.Client.
+func (p *Pool) Throttle(ctx context.Context, target workers.Target, throttled jobs.Task, attempt, percent int) error {
+	l, err := p.linkOf(target)
+	switch {
+	case err != nil:
+		return err
+	case l == nil:
+		return p.direct.Throttle(ctx, target, throttled, attempt, percent)
+	}
+	_, err = p.carry(ctx, l, target, call{Kind: kindThrottle, Task: wireTask(throttled), Attempt: attempt, Percent: percent})
+	return err
+}
+
+// Poll implements workers.Client.
+func (p *Pool) Poll(ctx context.Context, request workers.PollRequest) (workers.Inventory, error) {
+	l, err := p.linkOf(request.Target)
+	switch {
+	case err != nil:
+		return workers.Inventory{}, err
+	case l == nil:
+		return p.direct.Poll(ctx, request)
+	}
+	got, err := p.carry(ctx, l, request.Target, call{
+		Kind: kindPoll, LeaseExpiry: request.LeaseExpiry, AckUpTo: request.AckUpTo, Wait: request.Wait.Milliseconds(),
+		TimeoutMargin: request.TimeoutMargin.Milliseconds(),
+	})
+	if got.Inventory == nil {
+		return workers.Inventory{Clock: got.Clock}, err
+	}
+	return got.Inventory.inventory(got.Clock), err
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"bronzehook/carrier"
 	"bronzehook/execution"
 	"bronzehook/intake"
 	"bronzehook/invalid"
@@ -86,7 +88,9 @@
 	guard      *recovery.Guard
 	callers    *callerServer
 	leadership *leadershipService
-	leaving    atomic.Bool
+	// carrier makes calls to workers for the leader; nil if there is no address for other instances.
+	carrier *carrier.Server
+	leaving atomic.Bool
 	// responseDeadline is when requests that arrive during shutdown have to be answered, in ns since the Unix epoch.
 	responseDeadline atomic.Int64
 }
@@ -100,13 +104,16 @@
 	guard := recovery.NewGuard(registry, logger)
 	table := hedge.New(measure.Table(platformStore, registry), registry, guard)
 	reporter := invalid.NewReporter(registry, logger)
+	workersClient := platform.NewWorkers()
+	members := func(ctx context.Context) ([]leadership.Member, error) { return leadership.Members(ctx, table) }
+	carriers := carrier.NewPool(s.ID, s.CPUShare, workersClient, members, leadership.BootTime, guard, logger, registry)
 	clock := &wallClock{path: s.TimeOffsetFile, guard: guard}
 	p := &process{logger: logger, guard: guard}
 	p.leadership = &leadershipService{
 		table: table, roundTrip: health.RoundTrip, name: s.ID, cpuShare: s.CPUShare, speed: measure.NewSpeed().Relative, logger: logger,
 		handoverRequestAfter: handoverRequestAfter, handoverCheckInterval: handoverCheckInterval,
 		options: execution.Options{
-			Table: table, Workers: measure.Workers(platform.NewWorkers(), registry), Manifest: provider, WorkersTable: platform.WorkersTable,
+			Table: table, Workers: measure.Workers(carriers, registry), Carriers: carriers, Manifest: provider, WorkersTable: platform.WorkersTable,
 			ParseRegistration: platform.ParseRegistration, Invalid: reporter, Guard: guard, Clock: leadership.BootTime, Now: clock.now, Logger: logger,
 			AttemptLeaseDuration: s.AttemptLeaseDuration(), RemoteDataFactor: s.RemoteDataFactor,
 			Retention: toDuration(s.Retention, time.Second), Metrics: execution.NewMetrics(registry),
@@ -140,7 +147,11 @@
 		&opsServer{name: "ready", addr: s.ReadyAddr, handler: platform.NewReadyHandler(ready)},
 	)
 	if s.PeerAddr != "" {
-		p.kernel.Register(&callerServer{name: "peers", addr: s.PeerAddr, handler: p.serve("peers", handler)})
+		p.carrier = carrier.NewServer(workersClient, leadership.BootTime, guard, logger)
+		peers := chi.NewRouter()
+		peers.Handle(carrier.Path, p.carrier)
+		peers.NotFound(p.serve("peers", handler).ServeHTTP)
+		p.kernel.Register(&callerServer{name: "peers", addr: s.PeerAddr, handler: peers})
 	}
 	if s.MetricsAddr != "" {
 		metrics := http.NewServeMux()
@@ -199,6 +210,9 @@
 	deadline := time.Now().Add(available - shutdownTimeout)
 	p.responseDeadline.Store(deadline.Add(shutdownTimeout - responseMargin).UnixNano())
 	p.leaving.Store(true)
+	if p.carrier != nil {
+		p.carrier.Leave()
+	}
 	if err := p.leadership.Stop(context.Background()); err != nil {
 		p.logger.Warn().AnErr("error", err).Msg("leadership service not stopped")
 	}
--- a/execution/activation.go
+++ b/execution/activation.go
@@ -66,6 +66,7 @@
 		return
 	}
 	w.active = true
+	w.carrier = t.assignCarrier()
 	t.active = append(t.active, w)
 	t.nodes.add(&w.node, w)
 }
--- /dev/null
+++ b/execution/carriers_test.go
@@ -0,0 +1,94 @@
+package execution
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"bronzehook/jobs"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+// fakeCarriers assigns one carrier after the other.
+type fakeCarriers struct {
+	names    []string
+	assigned map[string]int
+}
+
+func (f *fakeCarriers) Begin(func(string)) {}
+func (f *fakeCarriers) End()               {}
+
+func (f *fakeCarriers) Assign(int) string {
+	if len(f.names) == 0 {
+		return ""
+	}
+	f.assigned[f.names[0]]++
+	return f.names[0]
+}
+
+func (f *fakeCarriers) Release(name string) { f.assigned[name]-- }
+
+// Guards against orders that a former carrier still sends after the worker was given to another one: the worker refuses
+// them only if the fencing token has grown.
+func TestFencingTokenGrowsWithTheCarrier(t *testing.T) {
+	r := newRig(t, memory.New())
+	carriers := &fakeCarriers{names: []string{"a"}, assigned: make(map[string]int)}
+	r.opts.Carriers = carriers
+	w := r.addWorker("w", 32_000)
+	r.submit("j", oneStep(1, 100))
+	r.scheduleAndCommit()
+	before := r.target(w)
+	if before.Via != "a" || len(r.client.starts) != 1 || r.client.starts[0].Via != "a" {
+		t.Fatalf("via %q, starts %+v", before.Via, r.client.starts)
+	}
+	r.pollWorker(w, r.clock)
+	carriers.names = []string{"b"}
+	r.reassignCarrier("a")
+	after := r.target(w)
+	if after.Via != "b" || after.FencingToken <= before.FencingToken {
+		t.Errorf("target before %+v, after %+v", before, after)
+	}
+	if w.fenced || w.polling || carriers.assigned["a"] != 0 || carriers.assigned["b"] != 1 {
+		t.Errorf("fenced %v, polling %v, assigned %v", w.fenced, w.polling, carriers.assigned)
+	}
+	if len(w.attempts) != 1 {
+		t.Errorf("%d attempts; what runs has to go on", len(w.attempts))
+	}
+	// A refusal of the former token by the worker is the expected effect, not the sign of another leader.
+	stale := errors.WithStack(&workers.RefusedError{Worker: "w", Reason: workers.ReasonStaleToken})
+	r.handlePollFailure(w, before, r.clock, stale)
+	if r.failure != nil {
+		t.Errorf("the term ended: %v", r.failure)
+	}
+}
+
+// Guards against the response to a poll through a former carrier that counts after the change, and against a carrier that
+// never gets workers which were in use before it was there.
+func TestWorkersMoveToCarriers(t *testing.T) {
+	r := newRig(t, memory.New())
+	carriers := &fakeCarriers{assigned: make(map[string]int)}
+	r.opts.Carriers = carriers
+	w := r.addWorker("w", 32_000)
+	j := r.submit("j", oneStep(1, 100))
+	r.scheduleAndCommit()
+	if w.carrier != "" {
+		t.Fatalf("carrier %q", w.carrier)
+	}
+	r.pollWorker(w, r.clock)
+	round := w.pollRound
+	carriers.names = []string{"a"}
+	r.advanceClock(rebalanceInterval)
+	r.rebalanceCarriers(r.clock)
+	if w.carrier != "a" || w.pollRound == round {
+		t.Errorf("carrier %q, poll round %d, was %d", w.carrier, w.pollRound, round)
+	}
+	r.pollWorker(w, r.clock)
+	r.handleEvents()
+	r.reportTerminations(w, workers.Termination{
+		Number: 1, Task: jobs.Task{Job: "j"}, Attempt: 1, Cause: workers.CauseDone,
+	})
+	if !j.terminal() {
+		t.Error("the end reported through the carrier does not count")
+	}
+}
--- a/execution/model.go
+++ b/execution/model.go
@@ -190,6 +190,8 @@
 	// incarnation grows whenever a new incarnation of the worker may have started. It is part of the fencing token, so
 	// that commands for an earlier incarnation have no effect on a later one under the same name.
 	incarnation uint64
+	// carrier is the instance that makes the calls to the worker; empty if the leader makes them itself.
+	carrier string
 	// clock is the clock of the worker, in milliseconds, as read at clockAt.
 	clock   int64
 	clockAt time.Duration
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -45,7 +45,7 @@
 // within a term, with worker.incarnation; a worker that has accepted a token refuses lower ones.
 func (t *Term) target(w *worker) workers.Target {
 	token := t.leader.Epoch()<<incarnationBits + min(w.incarnation, 1<<incarnationBits-1)
-	return workers.Target{ID: w.id(), Addr: w.node.Registration.Addr, FencingToken: token}
+	return workers.Target{ID: w.id(), Addr: w.node.Registration.Addr, FencingToken: token, Via: w.carrier}
 }
 
 // refusedOlderToken reports whether a worker refused a token as stale because this term itself has used a higher one
@@ -332,6 +332,7 @@
 	delete(t.workers, w.id())
 	delete(t.workersWithAcks, w)
 	w.node.Usable = false
+	t.releaseCarrier(w)
 	t.active = slices.DeleteFunc(t.active, func(other *worker) bool { return other == w })
 	t.nodes.remove(&w.node)
 }
--- a/execution/term.go
+++ b/execution/term.go
@@ -23,6 +23,8 @@
 type Options struct {
 	Table   store.Table
 	Workers workers.Client
+	// Carriers is nil if the leader makes all calls to workers itself.
+	Carriers Carriers
 	// Advisor is nil if no queue uses the advice service.
 	Advisor  workers.Advisor
 	Manifest *manifest.Provider
@@ -108,6 +110,8 @@
 	pools  map[string]*pool
 	// workersWithAcks holds the workers with terminations to be acknowledged once these are stored.
 	workersWithAcks map[*worker]struct{}
+	// nextRebalance is when carriers are assigned next to workers without one.
+	nextRebalance time.Duration
 	// earlyCancels holds the jobs whose cancellation was read before the job itself.
 	earlyCancels map[jobs.ID]bool
 	// setAside holds the jobs that this term does not schedule because of their rows or after a panic.
@@ -205,6 +209,10 @@
 	defer cancel()
 	defer t.leader.Invalidate()
 	t.ctx = ctx
+	if t.opts.Carriers != nil {
+		t.opts.Carriers.Begin(func(lost string) { t.post(func() { t.reassignCarrier(lost) }) })
+		defer t.opts.Carriers.End()
+	}
 	var ended error
 	// After a panic the state of the term cannot be relied on. The next term reads it from the store.
 	if panicked := t.opts.Guard.Do("term", func() { ended = t.control() }); panicked != nil {
@@ -329,6 +337,7 @@
 		t.nextPass, t.passDue = now+minPassInterval, false
 		t.refreshNodes(now)
 		t.activateMore(now)
+		t.rebalanceCarriers(now)
 		t.expireAttempts(now)
 		t.supervise(now)
 		t.logFleet(now)
--- a/leadership/members.go
+++ b/leadership/members.go
@@ -1,8 +1,9 @@
 package leadership
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +62,11 @@
 	return fitness
 }
 
+// CompareFitness orders members by their fitness, the best first, and then by their names.
+func CompareFitness(a, b *Member) int {
+	return cmp.Or(cmp.Compare(b.fitness(), a.fitness()), cmp.Compare(a.Name, b.Name))
+}
+
 // storeIsRemote reports whether the store is in another region.
 func (m *Member) storeIsRemote() bool { return m.RoundTrip > maxLocalRoundTrip }
 
@@ -151,12 +157,7 @@
 			members = append(members, m)
 		}
 	}
-	sort.Slice(members, func(i, j int) bool {
-		if a, b := members[i].fitness(), members[j].fitness(); a != b {
-			return a > b
-		}
-		return members[i].Name < members[j].Name
-	})
+	slices.SortFunc(members, func(a, b Member) int { return CompareFitness(&a, &b) })
 	ranking.Rank = len(members)
 	for i, m := range members {
 		if m.Name == name {
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -51,6 +51,8 @@
 	ID           ID
 	Addr         string
 	FencingToken uint64
+	// Via is the instance that makes the call for the leader; empty if the leader makes it itself.
+	Via string
 }
 
 // Running is an attempt that a worker reports as running.
