Do not keep a carrier whose connection ended while it was added

Cause: read again, the connection could fail between its set-up and its entry in the pool; nothing would have removed it, and its workers would have got no calls until the term's end. Change: it is looked at once more under the lock.

--- a/carrier/link.go
+++ b/carrier/link.go
@@ -165,6 +165,16 @@
 	})
 }
 
+// ended reports whether the link has failed.
+func (l *link) ended() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // writeCalls sends calls in batches, and an empty frame when there are none for aliveInterval.
 func (l *link) writeCalls() {
 	alive := time.NewTicker(aliveInterval)
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -239,6 +239,10 @@
 		go l.fail(ctx.Err())
 		return
 	}
+	if l.ended() {
+		// It ended before it was added, and lose has found nothing to remove.
+		return
+	}
 	p.carriers[m.Name] = &carrier{link: l, share: usableShare(m)}
 	p.logger.Info().Str("peer", m.Name).Float64("cpu_share", m.CPUShare).Int("fleet", p.fleet).Msg("carrier connected")
 }
