Keep carriers over a late renewal, and let a new leader use them at once

Change: only the calls that were queued fail; workers that have not answered in the term change at once, others 32 in 0.1 s; carriers are connected to within 0.1 s. TestCallsOfAnExpiredLeaderAreNotSent and TestNewLeaderUsesCarriersAtOnce fail without it.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -291,7 +291,8 @@
 	}
 }
 
-// Guards against calls of a leader that was paused between its decision and the sending.
+// Guards against calls of a leader that was paused between its decision and the sending, and against the loss of all
+// carriers by a lease that was only renewed late.
 func TestCallsOfAnExpiredLeaderAreNotSent(t *testing.T) {
 	f := newFixture(t)
 	f.connect()
@@ -299,10 +300,14 @@
 	if got := f.start(startOf("a", "x")); fault.CodeOf(got.err) != fault.CodeUnreachable {
 		t.Errorf("error %v", got.err)
 	}
-	time.Sleep(50 * time.Millisecond)
 	if n := f.carried.startCount(); n != 0 {
 		t.Errorf("%d starts were made", n)
 	}
+	// The lease was renewed in time after all: the carrier is still there.
+	f.valid.Store(true)
+	if got := f.start(startOf("a", "x")); got.err != nil || f.carried.startCount() != 1 {
+		t.Errorf("after the renewal: %v, %d starts", got.err, f.carried.startCount())
+	}
 }
 
 // Guards against the carriers of small fleets, whose leader makes the calls itself at less cost.
--- a/carrier/link.go
+++ b/carrier/link.go
@@ -165,6 +165,27 @@
 	})
 }
 
+// reject ends calls that were not sent.
+func (l *link) reject(calls []call, err error) {
+	if len(calls) == 0 {
+		return
+	}
+	handlers := make([]doneFunc, len(calls))
+	l.mu.Lock()
+	for i := range calls {
+		handlers[i] = l.pending[calls[i].ID]
+		delete(l.pending, calls[i].ID)
+	}
+	l.mu.Unlock()
+	l.session.Post(func() {
+		for _, done := range handlers {
+			if done != nil {
+				done(result{}, err)
+			}
+		}
+	})
+}
+
 // ended reports whether the link has failed.
 func (l *link) ended() bool {
 	select {
@@ -192,13 +213,14 @@
 		l.queue = nil
 		l.mu.Unlock()
 		if !l.session.Valid() {
-			l.fail(errors.WithStack(&ExpiredError{}))
-			return
+			// The lease may be renewed again, so that the link stays.
+			l.reject(calls, errors.WithStack(&ExpiredError{}))
+			calls = nil
 		}
 		for i := range calls {
 			l.omitKnownText(&calls[i])
 		}
-		sent := milliseconds(l.clock())
+		sent := l.clock().Milliseconds()
 		l.lastSent.Store(sent)
 		if err := writeFrame(l.conn, &callFrame{Sent: sent, Calls: calls}); err != nil {
 			l.fail(err)
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -232,6 +231,3 @@
 	c.order = append(c.order, id)
 	c.texts[id] = text
 }
-
-// milliseconds returns a reading of a clock in ms.
-func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -29,7 +29,7 @@
 	// worker may not change to and fro between callers.
 	retryAfterLoss = 15 * time.Second
 	// connectInterval is the time between two tries to connect to more carriers.
-	connectInterval = 500 * time.Millisecond
+	connectInterval = 100 * time.Millisecond
 	// memberReadInterval is the least time between two reads of the instances.
 	memberReadInterval = 4 * time.Second
 )
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -109,7 +109,7 @@
 			return err
 		}
 		c.heard.Store(frame.Sent)
-		tooOld := age.of(frame.Sent, milliseconds(c.clock())) > maxCallAge
+		tooOld := age.of(frame.Sent, c.clock().Milliseconds()) > maxCallAge
 		for i := range frame.Calls {
 			c.handle(&frame.Calls[i], tooOld)
 		}
--- a/execution/carriers.go
+++ b/execution/carriers.go
@@ -28,9 +28,10 @@
 
 const (
 	// rebalanceInterval is the time between two passes that assign carriers to workers without one.
-	rebalanceInterval = 500 * time.Millisecond
-	// maxRebalanced bounds the workers of one pass: each of them gets no new task until it has answered a poll.
-	maxRebalanced = 64
+	rebalanceInterval = 100 * time.Millisecond
+	// maxRebalanced bounds the workers of one pass that are in use: each of them gets no new task until it has answered a
+	// poll. It does not apply to workers that have not answered one in this term, as after a change of leader.
+	maxRebalanced = 32
 )
 
 // carried reports whether carriers make most of the calls to workers.
@@ -91,16 +92,16 @@
 	t.nextRebalance = now + rebalanceInterval
 	moved := 0
 	for _, w := range t.active {
-		if w.carrier != "" || !w.fenced || w.pollFailures > 0 {
+		if w.carrier != "" || w.pollFailures > 0 || (w.fenced && moved == maxRebalanced) {
 			continue
 		}
 		carrier := t.assignCarrier()
 		if carrier == "" {
 			return
 		}
-		t.changeCarrier(w, carrier)
-		if moved++; moved == maxRebalanced {
-			return
+		if w.fenced {
+			moved++
 		}
+		t.changeCarrier(w, carrier)
 	}
 }
--- a/execution/carriers_test.go
+++ b/execution/carriers_test.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -110,3 +111,51 @@
 		t.Error("the end reported through the carrier does not count")
 	}
 }
+
+// Guards against a leader of a large fleet that waits between scheduling cycles although carriers make the calls that the
+// pause is for; and against one without carriers that schedules all the time.
+func TestPausesOfSchedulingFollowTheCarriers(t *testing.T) {
+	r := newRig(t, memory.New())
+	carriers := &fakeCarriers{names: []string{"a"}, assigned: make(map[string]int)}
+	r.opts.Carriers = carriers
+	for _, id := range []string{"v", "w", "x"} {
+		r.addWorker(id, 32_000)
+	}
+	if got := r.scheduleBackoff(); got != carriedBackoffFactor {
+		t.Errorf("factor %d with carriers", got)
+	}
+	carriers.names = nil
+	r.reassignCarrier("a")
+	if got := r.scheduleBackoff(); got != scheduleBackoffFactor || r.carriedWorkers != 0 {
+		t.Errorf("factor %d, %d carried workers without carriers", got, r.carriedWorkers)
+	}
+}
+
+// Guards against a new leader that calls all workers of a large fleet itself for seconds, although carriers are there: the
+// workers that have not answered in its term can change at once, those in use a few at a time.
+func TestNewLeaderUsesCarriersAtOnce(t *testing.T) {
+	r := newRig(t, memory.New())
+	carriers := &fakeCarriers{assigned: make(map[string]int)}
+	r.opts.Carriers = carriers
+	const fleet = 3 * maxRebalanced
+	for n := range 2 * fleet {
+		w := r.addWorker(fmt.Sprint("w", n), 32_000)
+		w.fenced = n < fleet
+	}
+	carriers.names = []string{"a"}
+	r.advanceClock(rebalanceInterval)
+	r.rebalanceCarriers(r.clock)
+	inUse, others := 0, 0
+	for n, w := range r.active {
+		switch {
+		case w.carrier != "a":
+		case n < fleet:
+			inUse++
+		default:
+			others++
+		}
+	}
+	if inUse != maxRebalanced || others != fleet {
+		t.Errorf("%d workers in use and %d others got a carrier", inUse, others)
+	}
+}
