Let a new leader of a large fleet wait a moment for its carriers

Change: no polls for up to 0.4 s while carriers are needed and none is connected. TestNewLeaderWaitsForCarriersForAMoment fails without it.

--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -137,6 +137,13 @@
 	return chosen
 }
 
+// Connecting reports whether the fleet needs carriers and none is connected yet.
+func (p *Pool) Connecting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.needed() && len(p.carriers) == 0
+}
+
 // Release notes that a worker is no longer assigned to a carrier.
 func (p *Pool) Release(name string) {
 	p.mu.Lock()
--- a/execution/carriers.go
+++ b/execution/carriers.go
@@ -17,6 +17,8 @@
 	End()
 	// Assign returns the carrier of one more worker of a fleet; empty if the leader is to call it itself.
 	Assign(fleet int) string
+	// Connecting reports whether carriers are needed and none is connected yet.
+	Connecting() bool
 	// Release notes that a worker has no longer a carrier that it was assigned.
 	Release(name string)
 
@@ -32,11 +34,19 @@
 	// maxRebalanced bounds the workers of one pass that are in use: each of them gets no new task until it has answered a
 	// poll. It does not apply to workers that have not answered one in this term, as after a change of leader.
 	maxRebalanced = 32
+	// maxCarrierWait bounds how long a new leader waits for carriers before it polls the workers itself. Polls of a whole
+	// fleet at once keep a leader busy for longer.
+	maxCarrierWait = 400 * time.Millisecond
 )
 
 // carried reports whether carriers make most of the calls to workers.
 func (t *Term) carried() bool { return 2*t.carriedWorkers > len(t.active) }
 
+// awaitsCarriers reports whether polls wait for the first carrier of the term.
+func (t *Term) awaitsCarriers(now time.Duration) bool {
+	return t.opts.Carriers != nil && now < t.loadedAt+maxCarrierWait && t.opts.Carriers.Connecting()
+}
+
 // assignCarrier returns the carrier for one more worker.
 func (t *Term) assignCarrier() string {
 	if t.opts.Carriers == nil {
--- a/execution/carriers_test.go
+++ b/execution/carriers_test.go
@@ -16,8 +16,10 @@
 type fakeCarriers struct {
 	names    []string
 	assigned map[string]int
-	starts   []workers.Start
-	polls    []workers.PollRequest
+	// connecting is whether carriers are needed and not there yet.
+	connecting bool
+	starts     []workers.Start
+	polls      []workers.PollRequest
 	// answer handles the response to the last poll.
 	answer func(workers.Inventory, error)
 }
@@ -45,6 +47,7 @@
 }
 
 func (f *fakeCarriers) Release(name string) { f.assigned[name]-- }
+func (f *fakeCarriers) Connecting() bool    { return f.connecting }
 
 // Guards against orders that a former carrier still sends after the worker was given to another one: the worker refuses
 // them only if the fencing token has grown.
@@ -159,3 +162,20 @@
 		t.Errorf("%d workers in use and %d others got a carrier", inUse, others)
 	}
 }
+
+// Guards against a new leader that polls a whole fleet itself in the moment before its carriers are connected, and against
+// one that waits for carriers that never come.
+func TestNewLeaderWaitsForCarriersForAMoment(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.opts.Carriers = &fakeCarriers{assigned: make(map[string]int), connecting: true}
+	r.addWorker("w", 32_000).fenced = false
+	r.loadedAt = r.clock
+	r.runFor(maxCarrierWait / 2)
+	if n := r.polledWorkers(); n != 0 {
+		t.Errorf("%d workers polled before there are carriers", n)
+	}
+	r.runFor(maxCarrierWait)
+	if n := r.polledWorkers(); n != 1 {
+		t.Errorf("%d workers polled without carriers", n)
+	}
+}
--- a/execution/term.go
+++ b/execution/term.go
@@ -118,6 +118,8 @@
 	workersWithAcks map[*worker]struct{}
 	// nextRebalance is when carriers are assigned next to workers without one.
 	nextRebalance time.Duration
+	// loadedAt is when the tables had been read.
+	loadedAt time.Duration
 	// carriedWorkers counts the active workers with a carrier.
 	carriedWorkers int
 	// earlyCancels holds the jobs whose cancellation was read before the job itself.
@@ -240,7 +242,8 @@
 	t.spawn("intake watch", func() { t.watchIntake(from.intake) })
 	t.spawn("worker watch", func() { t.watchWorkers(from.workers) })
 	t.spawn("state collection", t.collectExpiredStates)
-	took := t.opts.Clock() - t.startedAt
+	t.loadedAt = t.opts.Clock()
+	took := t.loadedAt - t.startedAt
 	t.opts.Metrics.tookOver(took)
 	t.log.Info().Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).Int("engaged", len(t.active)).Dur("took", took).Msg("duty taken")
 	ticker := time.NewTicker(tickInterval)
@@ -360,7 +363,7 @@
 		t.nextSchedule = now + max(minScheduleInterval, t.scheduleBackoff()*(t.opts.Clock()-now))
 	}
 	t.commit(now)
-	if pass {
+	if pass && !t.awaitsCarriers(now) {
 		t.poll(now)
 	}
 	t.retryCommands(now)
