--- a/execution/setaside_test.go
+++ b/execution/setaside_test.go
@@ -16,14 +16,14 @@
 // Guards against an unexpected error in the control goroutine or in a call that ends the whole process instead of one term.
 func TestPanicEndsTheTermOnly(t *testing.T) {
 	for name, inject := range map[string]func(*Term){
-		"an event":    func(term *Term) { term.post(func() { panic("odd") }) },
+		"an event":    func(*Term) { panic("odd") },
 		"a goroutine": func(term *Term) { term.spawn("test", func() { panic("odd") }) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, memory.New())
+			r.Term.events <- func() { inject(r.Term) }
 			ended := make(chan error, 1)
 			go func() { ended <- r.Term.Run(t.Context()) }()
-			inject(r.Term)
 			select {
 			case err := <-ended:
 				var panicked *recovery.PanicError
