End the link to a carrier if its writer panics

Cause: read again, a panic would have left calls in the queue for ever, while the carrier's frames kept the link alive. The path without a panic is unchanged.

--- a/carrier/link.go
+++ b/carrier/link.go
@@ -29,17 +29,20 @@
 type link struct {
 	conn  net.Conn
 	clock leadership.Clock
-	texts *textCache
-
+	// texts mirrors which texts the carrier has.
+	texts   *textCache
 	session Session
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// queue holds the calls that are not sent yet, pending the handlers of all calls without a result.
 	queue   []call
 	pending map[uint64]doneFunc
 	lastID  uint64
-	failed  error
-	wake    chan struct{}
-	closed  chan struct{}
+	// failed is why the link has ended; closed is closed then.
+	failed error
+	closed chan struct{}
+	// wake is signalled when calls are queued.
+	wake chan struct{}
 	// lastSent is Sent of the last frame.
 	lastSent atomic.Int64
 	// onLeaving is called once when the carrier starts to shut down.
@@ -67,10 +70,13 @@
 		conn: conn, clock: clock, texts: newTextCache(), session: session, pending: make(map[uint64]doneFunc), wake: make(chan struct{}, 1),
 		closed: make(chan struct{}), onLeaving: onLeaving,
 	}
-	go guard.Do("carrier calls", l.writeCalls)
 	go func() {
-		err := guard.Do("carrier results", func() { l.fail(l.readResults(reader)) })
-		if err != nil {
+		if err := guard.Do("carrier calls", l.writeCalls); err != nil {
+			l.fail(err)
+		}
+	}()
+	go func() {
+		if err := guard.Do("carrier results", func() { l.fail(l.readResults(reader)) }); err != nil {
 			l.fail(err)
 		}
 		onLost(l.failed)
