Remove what the carriers and invalid values do not need

Cause: read once more. link.reject repeated link.deliver; Pool kept a context only to know whether a term runs; Reporter.Forget and SourceAdvice had no caller (entries of the advice service are left out without a count).

Change: reject calls deliver; the stop function says whether a term runs; the two are gone. Behaviour is the same.

--- a/carrier/link.go
+++ b/carrier/link.go
@@ -173,23 +173,11 @@
 
 // reject ends calls that were not sent.
 func (l *link) reject(calls []call, err error) {
-	if len(calls) == 0 {
-		return
-	}
-	handlers := make([]doneFunc, len(calls))
-	l.mu.Lock()
+	results := make([]result, len(calls))
 	for i := range calls {
-		handlers[i] = l.pending[calls[i].ID]
-		delete(l.pending, calls[i].ID)
+		results[i].ID = calls[i].ID
 	}
-	l.mu.Unlock()
-	l.session.Post(func() {
-		for _, done := range handlers {
-			if done != nil {
-				done(result{}, err)
-			}
-		}
-	})
+	l.deliver(results, err)
 }
 
 // ended reports whether the link has failed.
@@ -254,7 +242,7 @@
 		if err := readFrame(reader, &frame); err != nil {
 			return err
 		}
-		l.deliver(frame.Results)
+		l.deliver(frame.Results, nil)
 		if frame.Leaving && !l.leaving {
 			l.leaving = true
 			l.onLeaving()
@@ -266,8 +254,8 @@
 	}
 }
 
-// deliver hands results over, all at once.
-func (l *link) deliver(results []result) {
+// deliver hands results over with the error that they share, all at once.
+func (l *link) deliver(results []result, err error) {
 	if len(results) == 0 {
 		return
 	}
@@ -281,7 +269,7 @@
 	l.session.Post(func() {
 		for i, done := range handlers {
 			if done != nil {
-				done(results[i], nil)
+				done(results[i], err)
 			}
 		}
 	})
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -45,8 +45,7 @@
 	calls    *prometheus.CounterVec
 
 	mu sync.Mutex
-	// ctx is that of the present term; nil between terms. stop ends it.
-	ctx      context.Context
+	// stop ends the connections of the present term; nil between terms.
 	stop     context.CancelFunc
 	session  Session
 	fleet    int
@@ -98,7 +97,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ctx, stop := context.WithCancel(context.Background())
-	p.ctx, p.stop, p.session, p.fleet = ctx, stop, session, 0
+	p.stop, p.session, p.fleet = stop, session, 0
 	go p.guard.Do("carrier connections", func() { p.connectUntil(ctx, session) })
 }
 
@@ -106,7 +105,7 @@
 func (p *Pool) End() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ctx == nil {
+	if p.stop == nil {
 		return
 	}
 	p.stop()
@@ -114,7 +113,7 @@
 		go c.link.fail(context.Canceled)
 		delete(p.carriers, name)
 	}
-	p.ctx = nil
+	p.stop = nil
 }
 
 // Assign returns the carrier for the calls to one more worker of a fleet; empty if this instance is to make them itself.
--- a/invalid/invalid.go
+++ b/invalid/invalid.go
@@ -81,7 +81,6 @@
 	SourceWave         Source = "wave"
 	SourceMachines     Source = "machines"
 	SourceWorker       Source = "worker"
-	SourceAdvice       Source = "advice"
 	SourceDirectory    Source = "directory"
 )
 
@@ -138,10 +137,3 @@
 	r.logged[key] = version
 	return true
 }
-
-// Forget lets the next report about a key be logged again. It is called when the key holds a valid value.
-func (r *Reporter) Forget(source Source, key string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.logged, loggedKey{source, key})
-}
