--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -128,6 +128,21 @@
 	time.AfterFunc(after, func() { _ = i.Start() })
 }
 
+// StopAndRestart stops the process in order with SIGTERM and starts it again a second after its end, as the platform does.
+func (i *Instance) StopAndRestart() {
+	i.lab.Note("SIGTERM to %s", i.Name)
+	i.mu.Lock()
+	exited := i.exited
+	i.mu.Unlock()
+	i.Signal(syscall.SIGTERM)
+	go func() {
+		<-exited
+		i.lab.Note("%s has ended", i.Name)
+		time.Sleep(time.Second)
+		_ = i.Start()
+	}()
+}
+
 // Ready asks whether the instance takes connections.
 func (i *Instance) Ready() bool {
 	client := http.Client{Timeout: time.Second}
