--- a/review/2/main.go
+++ b/review/2/main.go
@@ -17,7 +17,7 @@
 	// length is how long a task runs. The store is down from outageBefore before the first task ends, for outage.
 	length       = 9 * time.Second
 	outageBefore = 3 * time.Second
-	outage       = 4500 * time.Millisecond
+	outage       = 4200 * time.Millisecond
 )
 
 func main() { harness.Main(play) }
