--- a/review/harness/advice.go
+++ b/review/harness/advice.go
@@ -22,11 +22,9 @@
 	expires time.Time
 }
 
-// Advice is the service that says which workers may run a step.
+// Advice is the service that says which workers may run a step. It allows all.
 type Advice struct {
 	lab *Lab
-	// Refused reports whether a worker may not run a step; nil allows all.
-	Refused func(step, worker string) bool
 
 	mu sync.Mutex
 	// tickets holds the newest ticket of each step and worker.
@@ -48,9 +46,6 @@
 	time.Sleep(time.Duration(decideMS+eachMS*len(request.Workers)) * time.Millisecond)
 	good := [][]string{}
 	for _, id := range request.Workers {
-		if a.Refused != nil && a.Refused(request.Step, id) {
-			continue
-		}
 		text := fmt.Sprintf("t%016x", rand.Uint64())
 		a.tickets[request.Step+" "+id] = ticket{text: text, expires: time.Now().Add(validMS * time.Millisecond)}
 		good = append(good, []string{id, text})
--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -121,13 +121,6 @@
 	}
 }
 
-// KillAndRestart ends the process with SIGKILL and starts it again after a delay, as the platform does.
-func (i *Instance) KillAndRestart(after time.Duration) {
-	i.lab.Note("SIGKILL to %s", i.Name)
-	i.Kill()
-	time.AfterFunc(after, func() { _ = i.Start() })
-}
-
 // StopAndRestart stops the process in order with SIGTERM and starts it again a second after its end, as the platform does.
 func (i *Instance) StopAndRestart() {
 	i.lab.Note("SIGTERM to %s", i.Name)
--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -54,7 +54,6 @@
 	Trouble   bool
 	Store     *platformtest.Store
 	Fleet     *Fleet
-	Machines  *Machines
 	Advice    *Advice
 	Instances []*Instance
 
@@ -94,7 +93,6 @@
 	}
 	l.Store.SetDelay(storeDelay)
 	l.Fleet = newFleet(l)
-	l.Machines = newMachines(l)
 	l.Advice = &Advice{lab: l, tickets: make(map[string]ticket)}
 	defer l.stopAll()
 	return l.play(play)
@@ -143,9 +141,6 @@
 	fmt.Fprintf(l.record, "%8.3f "+format+"\n", append([]any{time.Since(l.startedAt).Seconds()}, args...)...)
 }
 
-// Elapsed returns the time since the start of the case.
-func (l *Lab) Elapsed() time.Duration { return time.Since(l.startedAt) }
-
 func (l *Lab) stopAll() {
 	for _, i := range l.Instances {
 		i.Signal(syscall.SIGCONT)
@@ -175,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	machines, err := listen("127.0.0.1", l.Machines)
+	machinesAddr, err := listen("127.0.0.1", &machines{lab: l})
 	if err != nil {
 		return err
 	}
@@ -187,7 +182,7 @@
 	for n := range instances {
 		i := &Instance{Name: fmt.Sprintf("front-%s-%d", frontZone, n+1), IP: fmt.Sprintf("127.%d.%d.%d", block, rand.IntN(250)+1, n+1), lab: l, command: command}
 		i.Gate = &Gate{lab: l, name: i.Name, store: &storeServer{lab: l}}
-		if err := i.prepare(template, machines, advice); err != nil {
+		if err := i.prepare(template, machinesAddr, advice); err != nil {
 			return err
 		}
 		l.Instances = append(l.Instances, i)
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -95,8 +95,6 @@
 	changed chan struct{}
 	// failing makes the worker fail all that it starts.
 	failing  bool
-	hanging  bool
-	off      bool
 	sequence int
 }
 
@@ -167,17 +165,6 @@
 	return count
 }
 
-// Unlisted returns the ends that the workers have not forgotten yet, by worker.
-func (f *Fleet) Unlisted() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	counts := make(map[string]int)
-	for _, w := range f.workers {
-		counts[w.ID] = len(w.ends)
-	}
-	return counts
-}
-
 // SetFailing makes the worker fail all that it starts, or ends that.
 func (w *Worker) SetFailing(failing bool) {
 	w.fleet.mu.Lock()
@@ -186,14 +173,6 @@
 	w.fleet.lab.Note("%s fails all that it starts: %t", w.ID, failing)
 }
 
-// SetHanging makes the worker leave orders to start unanswered and undone, or ends that.
-func (w *Worker) SetHanging(hanging bool) {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	w.hanging = hanging
-	w.fleet.lab.Note("%s answers no order: %t", w.ID, hanging)
-}
-
 // Busy returns the number of running tasks.
 func (w *Worker) Busy() int {
 	w.fleet.mu.Lock()
@@ -201,19 +180,8 @@
 	return len(w.running)
 }
 
-// Listed returns the number of ends that are not forgotten yet.
-func (w *Worker) Listed() int {
-	w.fleet.mu.Lock()
-	defer w.fleet.mu.Unlock()
-	return len(w.ends)
-}
-
 func (w *Worker) register() {
 	w.fleet.mu.Lock()
-	if w.off {
-		w.fleet.mu.Unlock()
-		return
-	}
 	w.sequence++
 	row := map[string]any{
 		"service": serverPool, "address": w.addr, "zone": frontZone, "version": "1", "slots": 8, "state": "ready",
@@ -224,28 +192,6 @@
 	w.fleet.lab.Store.Put("servers", w.ID, row)
 }
 
-// takeDown ends everything on the worker; bringUp begins a new life under the same id.
-func (w *Worker) takeDown() {
-	w.fleet.mu.Lock()
-	w.off = true
-	for _, r := range w.running {
-		r.timer.Stop()
-		w.fleet.ends = append(w.fleet.ends, &End{Task: r.task, Run: r.number, How: "gone", Worker: w.ID, At: time.Now()})
-	}
-	w.running = make(map[string]*run)
-	w.notify()
-	w.fleet.mu.Unlock()
-	w.fleet.lab.Store.Delete("servers", w.ID)
-}
-
-func (w *Worker) bringUp() {
-	w.fleet.mu.Lock()
-	w.off, w.born, w.token, w.until, w.last = false, time.Now(), 0, 0, 0
-	w.floor, w.ends = make(map[string]int), nil
-	w.fleet.mu.Unlock()
-	w.register()
-}
-
 // clock returns the worker's clock in ms. Callers hold the mutex.
 func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
 
@@ -284,12 +230,6 @@
 	}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
-	if w.off || w.hanging {
-		w.fleet.mu.Unlock()
-		<-r.Context().Done()
-		w.fleet.mu.Lock()
-		return
-	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != w.ID {
 		w.answer(rw, http.StatusMisdirectedRequest, map[string]any{})
 		return
@@ -327,11 +267,10 @@
 	if w.lapse != nil {
 		w.lapse.Stop()
 	}
-	born := w.born
 	w.lapse = time.AfterFunc(time.Duration(until-w.clock())*time.Millisecond, func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		if w.born != born || w.clock() < w.until {
+		if w.clock() < w.until {
 			return
 		}
 		for _, e := range w.ends {
