--- a/review/4/main.go
+++ b/review/4/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzehook/review/harness"
@@ -47,10 +49,18 @@
 	}
 	job := harness.Job(harness.Step{"count": members, "cpu": 2300, "mem_mb": 4600, "estimated_ms": 1700, "gang": true})
 	var all sync.WaitGroup
+	var accepted atomic.Int32
 	for n := range gangs {
-		all.Go(func() { l.Submit(l.Instances[n], plan, gangID(n), job) })
+		all.Go(func() {
+			if l.Submit(l.Instances[n], plan, gangID(n), job) == 200 {
+				accepted.Add(1)
+			}
+		})
 	}
 	all.Wait()
+	if accepted.Load() < gangs {
+		return false, errors.New("a job was not accepted")
+	}
 	broken := false
 	for n := range gangs {
 		broken = failedEarly(l, plan, gangID(n)) || broken
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -83,17 +83,13 @@
 // more than slack after it had answered for that route.
 func wentBack(l *harness.Lab, asked *harness.Instance, added harness.Route, end time.Time) bool {
 	var first time.Time
-	last, broken := -1, false
+	broken := false
 	for time.Now().Before(end) {
 		sent := time.Now()
 		status, _ := l.Pending(asked, added)
 		if status == http.StatusOK && first.IsZero() {
 			first = time.Now()
 		}
-		if status != last {
-			l.Note("GET %s at %s: %d", added.Prefix(), asked.Name, status)
-		}
-		last = status
 		broken = broken || (status == http.StatusNotFound && !first.IsZero() && sent.Sub(first) > slack)
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -56,8 +56,16 @@
 	return map[string]any{"spec": "review", "steps": steps}
 }
 
-// call sends one request on a connection of its own. The status is 0 if no answer came within the time limit.
+// call sends one request on a connection of its own and notes both the request and its answer. The status is 0 if no answer
+// came within the time limit.
 func (l *Lab) call(i *Instance, method, path string, body any) (int, []byte) {
+	l.Note("%s %s at %s", method, path, i.Name)
+	status, content := send(i, method, path, body)
+	l.Note("%s %s at %s: %d %s", method, path, i.Name, status, bytes.TrimSpace(content))
+	return status, content
+}
+
+func send(i *Instance, method, path string, body any) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var encoded []byte
@@ -85,9 +93,7 @@
 
 // Submit hands a job in at one instance and returns the status of the answer.
 func (l *Lab) Submit(i *Instance, route Route, id string, job map[string]any) int {
-	l.Note("POST %s%s at %s", route.Prefix(), id, i.Name)
 	status, _ := l.call(i, http.MethodPost, route.Prefix()+id, job)
-	l.Note("POST %s%s at %s: %d", route.Prefix(), id, i.Name, status)
 	return status
 }
 
