Do not take tasks for lost whose terminations are not listed yet

Cause: a worker lists its first 500 terminations that are not acknowledged, and none is acknowledged while the store is down. The leader took the attempts in neither list for lost. The fake worker listed all terminations, so no test met the limit. Change: an inventory with as many terminations as it may list says nothing on others. The rule is computed from the lists themselves, so it holds for polls made by carriers, of older builds too, and for inherited attempts. The settings tests unset the variables that their files set, since they made the new test fail if it ran after them.

--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -22,10 +22,11 @@
 BRONZEHOOK_NOT_KNOWN=1
 `
 
-// parseFile reads settings from a file alone. It unsets the variables of the environment, which override the file.
+// parseFile reads settings from a file alone. It unsets the variables of the environment, which override the file, and at
+// the end of the test those that the file has set.
 func parseFile(t *testing.T, file string) (*Settings, error) {
 	t.Helper()
-	for _, line := range os.Environ() {
+	for _, line := range append(os.Environ(), strings.Split(file, "\n")...) {
 		if name, _, _ := strings.Cut(line, "="); strings.HasPrefix(name, "BRONZEHOOK_") {
 			t.Setenv(name, "")
 			os.Unsetenv(name)
--- a/execution/model.go
+++ b/execution/model.go
@@ -209,6 +209,8 @@
 	storedUpTo  int64
 	ackedUpTo   int64
 	pendingAcks []pendingAck
+	// unlisted is set while the worker may have terminations that it has not listed yet.
+	unlisted bool
 
 	// polling is set while a poll is in flight. A poll and its hedged repetition form a poll round, of which the first
 	// response counts: pollRound is the number of the current round, pendingPolls counts its polls without a response.
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -197,7 +197,8 @@
 }
 
 // reconcile compares the attempts that a worker reports with those that it is expected to run. The poll was sent at
-// polledAt.
+// polledAt. An attempt that the worker does not report is lost, unless its termination may be among those that the worker
+// has not listed yet.
 func (t *Term) reconcile(w *worker, polledAt, now time.Duration, inventory workers.Inventory) {
 	reported := make(map[attemptKey]bool, len(inventory.Running))
 	for i := range inventory.Running {
@@ -216,6 +217,9 @@
 			t.scheduleDue = true
 		}
 	}
+	if t.noteUnlisted(w, inventory) {
+		return
+	}
 	for key, a := range w.attempts {
 		if reported[key] || a.phase == phaseRecording {
 			continue
@@ -227,6 +231,17 @@
 	}
 }
 
+// noteUnlisted reports whether a worker may have terminations that it has not listed, and logs when that begins and ends.
+func (t *Term) noteUnlisted(w *worker, inventory workers.Inventory) bool {
+	unlisted := !inventory.ListsAllTerminations()
+	if unlisted != w.unlisted {
+		w.unlisted = unlisted
+		t.log.Info().Str(logging.KeyWorker, string(w.id())).Bool("unlisted", unlisted).
+			Int("listed", len(inventory.Terminations)).Int("attempts", len(w.attempts)).Msg("terminations listed in parts")
+	}
+	return unlisted
+}
+
 // confirmRunning applies what a worker reports of an expected attempt.
 func (t *Term) confirmRunning(a *taskAttempt, running *workers.Running, now time.Duration) {
 	if a.phase != phaseRunning {
--- a/execution/unresponsive_test.go
+++ b/execution/unresponsive_test.go
@@ -169,3 +169,39 @@
 		})
 	}
 }
+
+// Guards against an attempt that is taken for lost, and runs again, because its worker has more terminations than one
+// inventory lists; and against one that is waited for although the worker has listed all of them.
+func TestAttemptIsNotLostWhileTerminationsAreUnlisted(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed, unknown int
+		inherited       bool
+		wantLost        bool
+	}{
+		"all listed":                          {listed: workers.MaxTerminations - 1, wantLost: true},
+		"more may follow":                     {listed: workers.MaxTerminations},
+		"more may follow, some undecodable":   {listed: workers.MaxTerminations - 2, unknown: 2},
+		"all listed, of an earlier term":      {inherited: true, wantLost: true},
+		"more may follow, of an earlier term": {listed: workers.MaxTerminations, inherited: true},
+	} {
+		r := newRig(t, memory.New())
+		w := r.addWorker("w", 1000)
+		r.submit("a", oneStep(1, 100))
+		r.scheduleAndCommit()
+		a := r.onlyAttempt(w)
+		if c.inherited {
+			a.phase = phaseInherited
+		}
+		inventory := workers.Inventory{StartTime: 1, Unknown: c.unknown}
+		for n := range c.listed {
+			inventory.Terminations = append(inventory.Terminations, workers.Termination{
+				Number: int64(n + 1), Task: jobs.Task{Job: "other", Index: n}, Attempt: 1, Cause: workers.CauseDone,
+			})
+		}
+		r.advanceClock(time.Second)
+		r.handlePoll(w, workers.PollRequest{Target: r.target(w)}, r.clock, inventory, nil)
+		if lost := len(w.attempts) == 0; lost != c.wantLost {
+			t.Errorf("%s: lost: %v", name, lost)
+		}
+	}
+}
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -89,7 +89,12 @@
 	Checkpoint string
 }
 
-// Inventory is a worker's reply to a poll: its running attempts and the terminations not yet acknowledged.
+// MaxTerminations is how many terminations a worker lists in one inventory, the oldest ones. It lists the next ones after
+// these have been acknowledged.
+const MaxTerminations = 500
+
+// Inventory is a worker's reply to a poll: its running attempts and the first MaxTerminations terminations not yet
+// acknowledged.
 type Inventory struct {
 	// Clock is the worker's own clock in ms.
 	Clock        int64
@@ -100,6 +105,12 @@
 	Unknown int
 }
 
+// ListsAllTerminations reports whether the inventory certainly contains all terminations that are not acknowledged. If it
+// does not, an attempt that it does not contain may have ended in any way.
+func (i *Inventory) ListsAllTerminations() bool {
+	return len(i.Terminations)+i.Unknown < MaxTerminations
+}
+
 // Start is the command to start an attempt.
 type Start struct {
 	Target
