Count a failed attempt of a gang once

Cause: the failures of a gang were the sum over its members, so an attempt counted as often as members of it failed. Change: a gang counts its failures as a whole, by the number of the attempt. In the record one member holds the count, so that the layout and the sum stay as they were for builds that run beside; which member it is tells the next leader whether the latest attempt is counted. Another element in the record was ruled out: the builds before refuse arrays of another length.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -125,7 +125,7 @@
 // countTermination updates a task after the termination of an attempt. ran is the run time of the attempt, 0 if unknown.
 func (t *Term) countTermination(w *worker, task *task, termination workers.Termination, ran time.Duration) {
 	t.log.Info().Stringer(logging.KeyTask, termination.Task).Int(logging.KeyAttempt, termination.Attempt).
-		Str(logging.KeyWorker, string(w.id())).Str("cause", string(termination.Cause)).Int("failures", task.failures).
+		Str(logging.KeyWorker, string(w.id())).Str("cause", string(termination.Cause)).Int("failures", task.failureCount()).
 		Dur("ran", ran).Msg("attempt ended")
 	t.opts.Metrics.ended(termination.Cause)
 	if termination.Checkpoint != "" && task.current == nil {
@@ -139,7 +139,7 @@
 			return
 		}
 	case workers.CauseFailed:
-		t.countFailure(w, task)
+		t.countFailure(w, task, termination.Attempt)
 	}
 	if termination.Cause != workers.CauseDone {
 		t.breakGang(task, termination.Attempt)
@@ -147,10 +147,14 @@
 	t.updateJobState(task.job)
 }
 
-// countFailure counts a failed attempt against its task and, for the circuit breaker, against its worker.
-func (t *Term) countFailure(w *worker, task *task) {
+// countFailure counts a failed attempt against its task, or its gang, and, for the circuit breaker, against its worker.
+func (t *Term) countFailure(w *worker, task *task, attempt int) {
 	task.avoidWorker = w.id()
-	if !task.step.LongRunning {
+	switch {
+	case task.step.LongRunning:
+	case task.step.Gang:
+		task.occurrence().gangFailuresOf(task.id.Step).note(attempt)
+	default:
 		task.failures++
 	}
 	if task.job.countsAgainst(w.id()) && w.breaker.recordFailure(t.opts.Clock()) {
@@ -178,28 +182,6 @@
 	t.updateJobState(finished.job)
 }
 
-// gangOf returns all members of the gang of a task; the task alone if it is in none.
-func (t *Term) gangOf(member *task) []*task {
-	if !member.step.Gang {
-		return []*task{member}
-	}
-	return member.job.occurrences[member.id.Occurrence].steps[member.id.Step]
-}
-
-// breakGang stops the other members of the gang of a task whose attempt has ended or is abandoned: a gang has to
-// restart as a whole.
-func (t *Term) breakGang(ended *task, attempt int) {
-	if !ended.step.Gang || ended.done {
-		return
-	}
-	for _, member := range t.gangOf(ended) {
-		member.checkpoint = ended.checkpoint
-		if member.current != nil && member.current.number <= attempt {
-			t.stop(member.current, "the gang has to restart")
-		}
-	}
-}
-
 // updateJobState ends a job as succeeded once all its tasks are done, and as failed once a task has used up its
 // attempts.
 func (t *Term) updateJobState(j *job) {
@@ -232,17 +214,15 @@
 	if !j.queueKnown || j.queue.MaxAttempts <= 0 {
 		return false
 	}
-	failures := 0
 	for _, task := range step {
-		if task.done {
-			continue
-		}
-		if !task.step.Gang && task.failures >= j.queue.MaxAttempts {
+		if !task.done && task.failureCount() >= j.queue.MaxAttempts {
 			return true
 		}
-		failures += task.failures
+		if task.step.Gang {
+			break
+		}
 	}
-	return len(step) > 0 && step[0].step.Gang && failures >= j.queue.MaxAttempts
+	return false
 }
 
 // endJob ends a job in a final state and stops its attempts.
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -220,26 +220,34 @@
 		if o == nil {
 			continue
 		}
-		for _, step := range o.steps {
+		for s, step := range o.steps {
+			first := len(record.Tasks)
 			for _, task := range step {
-				if task.attempt == 0 {
-					continue
+				if task.attempt > 0 {
+					record.Tasks = append(record.Tasks, task.record())
 				}
-				taskRecord := jobs.TaskRecord{
-					Occurrence: task.id.Occurrence, Step: task.id.Step, Index: task.id.Index, Done: task.done,
-					Failures: task.failures, Attempt: task.attempt, Ended: task.lastEnded, Checkpoint: task.checkpoint,
-				}
-				if task.current != nil {
-					taskRecord.Worker = string(task.current.worker.id())
-					taskRecord.Born = task.current.worker.startTime
-				}
-				record.Tasks = append(record.Tasks, taskRecord)
+			}
+			if f := o.gangFailures[s]; f != nil {
+				f.store(record.Tasks[first:])
 			}
 		}
 	}
 	return record
 }
 
+// record returns the entry of a task in the progress record of its job.
+func (t *task) record() jobs.TaskRecord {
+	r := jobs.TaskRecord{
+		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Done: t.done,
+		Failures: t.failures, Attempt: t.attempt, Ended: t.lastEnded, Checkpoint: t.checkpoint,
+	}
+	if t.current != nil {
+		r.Worker = string(t.current.worker.id())
+		r.Born = t.current.worker.startTime
+	}
+	return r
+}
+
 // recordsCommitted handles the result of a commit of progress records.
 func (t *Term) recordsCommitted(batch []change, removed []store.Key, err error) {
 	now := t.opts.Clock()
--- a/execution/gang_test.go
+++ b/execution/gang_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzehook/jobs"
+	"bronzehook/manifest"
 	"bronzehook/store"
 	"bronzehook/store/memory"
 	"bronzehook/workers"
@@ -140,3 +141,127 @@
 		}
 	}
 }
+
+// report lets a worker answer a poll with the termination of one member of the gang "a".
+func (r *rig) report(w *worker, number int64, index, attempt int, cause workers.Cause) {
+	var listed []workers.Running
+	for key := range w.attempts {
+		if key.task.Index != index {
+			listed = append(listed, workers.Running{Task: key.task, Attempt: key.attempt})
+		}
+	}
+	r.handlePoll(w, workers.PollRequest{Target: r.target(w)}, r.clock, workers.Inventory{
+		StartTime: 1, Running: listed, Terminations: []workers.Termination{
+			{Number: number, Task: jobs.Task{Job: "a", Index: index}, Attempt: attempt, Cause: cause},
+		},
+	}, nil)
+}
+
+// takeOver starts a term with what another one has stored. The worker is the one that ran the other's attempts.
+func (r *rig) takeOver(id string, cpu int) (*rig, *worker) {
+	r.t.Helper()
+	next := newRig(r.t, r.table)
+	next.opts.Manifest.Update(r.opts.Manifest.Current())
+	if _, err := next.load(); err != nil {
+		r.t.Fatal(err)
+	}
+	next.commitAll()
+	return next, next.addWorker(id, cpu)
+}
+
+// Guards against a job that is given up after one attempt of its gang, because each member that failed in it was counted.
+func TestFailedAttemptOfAGangCountsOnce(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	j := r.submit("a", gangStep(3, 100))
+	r.scheduleAndCommit()
+	number := int64(0)
+	for attempt := 1; attempt <= 2; attempt++ {
+		if j.terminal() {
+			t.Fatalf("the job is %s after %d attempts", j.state, attempt-1)
+		}
+		for index, cause := range []workers.Cause{workers.CauseFailed, workers.CauseFailed, workers.CauseBroken} {
+			number++
+			r.report(w, number, index, attempt, cause)
+		}
+		r.scheduleAndCommit()
+	}
+	if j.state != jobs.StateFailed {
+		t.Errorf("the job is %s after two failed attempts of two", j.state)
+	}
+	if n := r.client.startCount(); n != 6 {
+		t.Errorf("%d starts", n)
+	}
+}
+
+// Guards against a new leader that counts an attempt of a gang a second time, because other members of it fail, or that
+// does not count one, because a member that failed before has ended in it.
+func TestNewLeaderKnowsFailedAttemptsOfAGang(t *testing.T) {
+	type end struct {
+		index, attempt int
+		cause          workers.Cause
+	}
+	for name, c := range map[string]struct {
+		before, after []end
+		want          int
+	}{
+		"another member fails in the same attempt":           {[]end{{0, 1, "failed"}}, []end{{1, 1, "failed"}}, 1},
+		"the last member fails first":                        {[]end{{2, 1, "failed"}}, []end{{0, 1, "failed"}, {1, 1, "failed"}}, 1},
+		"first failure of the second attempt":                {[]end{{0, 1, "failed"}, {1, 1, "broken"}, {2, 1, "broken"}}, []end{{1, 2, "failed"}}, 2},
+		"the member that failed first is broken in the next": {[]end{{0, 1, "failed"}, {1, 1, "broken"}, {2, 1, "broken"}, {0, 2, "broken"}}, []end{{1, 2, "failed"}}, 2},
+		"all but one are broken in the next":                 {[]end{{0, 1, "failed"}, {1, 1, "broken"}, {2, 1, "broken"}, {0, 2, "broken"}, {1, 2, "broken"}}, []end{{2, 2, "failed"}}, 2},
+		"both attempts are counted":                          {[]end{{0, 1, "failed"}, {1, 1, "failed"}, {2, 1, "broken"}, {2, 2, "failed"}}, []end{{0, 2, "failed"}, {1, 2, "failed"}}, 2},
+		"nobody fails after the change":                      {[]end{{0, 1, "failed"}}, []end{{1, 1, "broken"}, {2, 1, "broken"}}, 1},
+	} {
+		r := newRig(t, memory.New())
+		w := r.addWorker("w", 1000)
+		r.opts.Manifest.Update((&manifest.Manifest{Version: 2, Queues: []manifest.Queue{
+			{Name: testQueue, Service: "s", MaxAttempts: 9, Stretch: 2, LatencyTarget: time.Second},
+		}}).Index())
+		r.submit("a", gangStep(3, 100))
+		r.scheduleAndCommit()
+		number := int64(0)
+		report := func(r *rig, w *worker, ends []end) {
+			for _, e := range ends {
+				number++
+				r.report(w, number, e.index, e.attempt, e.cause)
+				r.scheduleAndCommit()
+			}
+		}
+		report(r, w, c.before)
+		next, w := r.takeOver("w", 1000)
+		report(next, w, c.after)
+		if got := next.findTask(jobs.Task{Job: "a"}).failureCount(); got != c.want {
+			t.Errorf("%s: %d failures, want %d", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a lost member whose failure is reported late, after the gang has started again, and is counted although
+// the attempt was, or not counted although it was not.
+func TestLateFailureOfALostMemberCountsOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		other workers.Cause
+		want  int
+	}{"the attempt was counted": {workers.CauseFailed, 1}, "the attempt was not counted": {workers.CauseBroken, 1}} {
+		r := newRig(t, memory.New())
+		w1, w2 := r.addWorker("w1", 100), r.addWorker("w2", 100)
+		r.submit("a", gangStep(2, 100))
+		r.scheduleAndCommit()
+		members := r.jobs["a"].occurrences[0].steps[0]
+		lost, other := members[0], members[1]
+		if lost.current.worker != w1 {
+			w1, w2 = w2, w1
+		}
+		r.markLost(lost.current, "its lease has run out")
+		r.report(w2, 1, other.id.Index, 1, c.other)
+		r.scheduleAndCommit()
+		if lost.attempt != 2 {
+			t.Fatalf("%s: the gang has not started again", name)
+		}
+		r.report(w1, 1, lost.id.Index, 1, workers.CauseFailed)
+		if got := lost.failureCount(); got != c.want {
+			t.Errorf("%s: %d failures, want %d", name, got, c.want)
+		}
+	}
+}
--- a/execution/load.go
+++ b/execution/load.go
@@ -152,6 +152,7 @@
 	for i := range record.Tasks {
 		t.restoreTask(j, &record.Tasks[i])
 	}
+	j.restoreGangFailures()
 	t.updateJobState(j)
 }
 
--- a/execution/model.go
+++ b/execution/model.go
@@ -78,10 +78,11 @@
 
 // task is one task of a live job.
 type task struct {
-	job      *job
-	id       jobs.Task
-	step     *jobs.Step
-	done     bool
+	job  *job
+	id   jobs.Task
+	step *jobs.Step
+	done bool
+	// failures counts the failed attempts; those of a gang are in occurrence.gangFailures.
 	failures int
 	// attempt is the number of the latest attempt, lastEnded that of the latest one that has ended.
 	attempt   int
@@ -110,6 +111,8 @@
 	remaining []int
 	// advice holds the advice received for each step, by the number of the step; nil if none was requested.
 	advice map[int]*stepAdvice
+	// gangFailures holds the failures of the steps that are gangs, by the number of the step.
+	gangFailures map[int]*gangFailures
 }
 
 // job is a live job.
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -18,7 +18,9 @@
 	Step       int
 	Index      int
 	Done       bool
-	Failures   int
+	// Failures counts the failed attempts. Those of a gang are all in the entry of one member: one that has ended in the latest
+	// attempt if that one is among them, else one that has not.
+	Failures int
 	// Attempt is the highest attempt number recorded for the task.
 	Attempt int
 	// Ended is the highest attempt number whose termination has been applied.
