Do not answer callers by an older manifest than another instance applies

Cause: any answer of a peer but 503 and 504 was passed on, also a refusal by an old manifest of an instance that the store rejects, and also once the outcome of the request was unknown. Neither the relayed request nor the answer named a version. Evidence: 'request relayed' with own_status=503, status=404, result=served, by an instance whose last 'manifest in force' is older. Change: both name the version that their sender applies. An instance refuses what one with a newer manifest relays; a refusal by an older one does not stand; an instance that learns of a newer manifest reads it at once, and until then relays all requests. After an unknown outcome only a success, or 410 for a cancellation, replaces it.

--- a/entry/config.go
+++ b/entry/config.go
@@ -33,7 +33,8 @@
 	logger   zerolog.Logger
 	invalid  *invalid.Reporter
 	guard    *recovery.Guard
-	loop     backgroundLoop
+	watch    backgroundLoop
+	catchUp  backgroundLoop
 }
 
 // Name implements kernel.Service.
@@ -44,19 +45,21 @@
 
 // Start implements kernel.Service.
 func (s *manifestService) Start(context.Context) error {
-	s.loop.start(s.guard, "manifest", s.run)
+	s.watch.start(s.guard, "manifest", s.watchTable)
+	s.catchUp.start(s.guard, "newer manifest", s.readNewerManifests)
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *manifestService) Stop(context.Context) error {
-	s.loop.stop()
+	s.watch.stop()
+	s.catchUp.stop()
 	return nil
 }
 
-// run lists the operator's table, then watches it. It relists after each failure, since a watch misses changes that were
-// made while it was interrupted.
-func (s *manifestService) run(ctx context.Context) {
+// watchTable lists the operator's table, then watches it. It relists after each failure, since a watch misses changes that
+// were made while it was interrupted.
+func (s *manifestService) watchTable(ctx context.Context) {
 	reachable := true
 	for ctx.Err() == nil {
 		after, err := s.relist(ctx)
@@ -76,6 +79,37 @@
 	}
 }
 
+// readNewerManifests reads the manifest whenever another instance names a newer version than the current one. The watch may
+// have been interrupted, and finds that out only by a time-out.
+func (s *manifestService) readNewerManifests(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.provider.Behind():
+		}
+		for s.provider.IsBehind() && ctx.Err() == nil {
+			if s.readManifest(ctx) != nil {
+				leadership.Sleep(ctx, manifestRetryDelay)
+			}
+		}
+	}
+}
+
+// readManifest reads and applies the stored manifest.
+func (s *manifestService) readManifest(ctx context.Context) error {
+	newest := s.provider.Newest()
+	rows, err := store.ReadRow(ctx, s.table, platform.ManifestKey)
+	if err != nil {
+		return err
+	}
+	s.apply(rows.Rows)
+	s.provider.ConfirmCurrent(newest)
+	s.logger.Info().Uint64(logging.KeyRevision, s.provider.Version()).Uint64("named", newest).
+		Msg("manifest read, another instance named a newer one")
+	return nil
+}
+
 // logReachability logs the loss and the return of the store, and returns the new state.
 func (s *manifestService) logReachability(wasReachable, reachable bool, err error) bool {
 	switch {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,7 @@
 	registry := prometheus.NewRegistry()
 	platformStore := platform.NewStore(s.StoreAddr)
 	health := platformStore.Health()
-	provider := &manifest.Provider{}
+	provider := manifest.NewProvider()
 	waves := &maintenance.Registry{}
 	guard := recovery.NewGuard(registry, logger)
 	table := hedge.New(measure.Table(platformStore, registry), registry, guard)
@@ -128,7 +128,7 @@
 	}
 	intakeService := intake.New(table, health, provider, intake.NewMetrics(registry), logger, clock.now)
 	handler := platform.NewCallerHandler(intakeService)
-	peerRelay := relay.New(s.ID, platform.CallerDeadline{}, logger, registry)
+	peerRelay := relay.New(s.ID, platform.CallerDeadline{}, provider, logger, registry)
 	p.leadership.peerAddr = s.PeerAddr
 	p.leadership.onMembers = func(members []leadership.Member) { peerRelay.SetPeers(peersOf(members)) }
 	p.callers = &callerServer{name: "callers", addr: s.CallerAddr, handler: p.serve("callers", handler)}
@@ -150,7 +150,7 @@
 		p.carrier = carrier.NewServer(workersClient, leadership.BootTime, guard, logger)
 		peers := chi.NewRouter()
 		peers.Handle(carrier.Path, p.carrier)
-		peers.NotFound(p.serve("peers", handler).ServeHTTP)
+		peers.NotFound(p.serve("peers", peerRelay.PeerHandler(handler)).ServeHTTP)
 		p.kernel.Register(&callerServer{name: "peers", addr: s.PeerAddr, handler: peers})
 	}
 	if s.MetricsAddr != "" {
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -4,7 +4,6 @@
 import (
 	"sort"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"bronzehook/jobs"
@@ -119,22 +118,3 @@
 	}
 	return nil
 }
-
-// Provider publishes the current manifest, and never replaces it by an older version.
-type Provider struct{ current atomic.Pointer[Manifest] }
-
-// Current returns the current manifest, or nil before the first one.
-func (p *Provider) Current() *Manifest { return p.current.Load() }
-
-// Update makes a manifest the current one if it is newer, and reports whether it did.
-func (p *Provider) Update(m *Manifest) bool {
-	for {
-		old := p.current.Load()
-		if old != nil && old.Version >= m.Version {
-			return false
-		}
-		if p.current.CompareAndSwap(old, m) {
-			return true
-		}
-	}
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,10 @@
 // reject or be unreachable for single instances, and callers connected to those would be refused although other
 // instances could serve them. Relaying a request is safe because the request names its job: submitted twice, it creates
 // one job only.
+//
+// Instances that the store rejects do not learn of a new configuration. Relayed requests and the answers to them therefore
+// name the version that their sender applies: no instance answers for one with a newer configuration, and one that knows
+// of a newer configuration than its own does not answer by its own.
 package relay
 
 import (
@@ -14,6 +18,7 @@
 	"net/http"
 	"path"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,8 +30,13 @@
 	"bronzehook/response"
 )
 
-// HeaderRelayed holds the name of the instance that relayed a request. A relayed request is not relayed again.
-const HeaderRelayed = "Bronzehook-Relayed"
+// Headers of relayed requests and of the answers to them.
+const (
+	// HeaderRelayed holds the name of the instance that relayed a request. A relayed request is not relayed again.
+	HeaderRelayed = "Bronzehook-Relayed"
+	// HeaderVersion holds the version of the configuration that the sender applies. Older builds do not send it.
+	HeaderVersion = "Bronzehook-Configuration-Version"
+)
 
 // Limits of relaying.
 const (
@@ -55,13 +65,24 @@
 	SetRemaining(r *http.Request, left time.Duration)
 }
 
+// Configuration tells by which version of the configuration this instance answers requests.
+type Configuration interface {
+	// Version returns the version that this instance applies, or 0 if it has none yet.
+	Version() uint64
+	// NoteVersion notes that another instance applies a version.
+	NoteVersion(version uint64)
+	// IsBehind reports whether a newer version is known to exist than the one that this instance applies.
+	IsBehind() bool
+}
+
 // Relay forwards requests to other instances. It is safe for concurrent use.
 type Relay struct {
-	self     string
-	deadline Deadline
-	client   *http.Client
-	logger   zerolog.Logger
-	results  *prometheus.CounterVec
+	self          string
+	deadline      Deadline
+	configuration Configuration
+	client        *http.Client
+	logger        zerolog.Logger
+	results       *prometheus.CounterVec
 
 	mu    sync.Mutex
 	peers []Peer
@@ -74,9 +95,11 @@
 }
 
 // New returns the relay of the instance named self, without peers.
-func New(self string, deadline Deadline, logger zerolog.Logger, registry prometheus.Registerer) *Relay {
+func New(
+	self string, deadline Deadline, configuration Configuration, logger zerolog.Logger, registry prometheus.Registerer,
+) *Relay {
 	r := &Relay{
-		self: self, deadline: deadline, logger: logger, cooldownUntil: make(map[string]time.Time),
+		self: self, deadline: deadline, configuration: configuration, logger: logger, cooldownUntil: make(map[string]time.Time),
 		client: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 8, IdleConnTimeout: idleTimeout, DisableCompression: true,
@@ -96,22 +119,27 @@
 	r.peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Name == r.self || p.Addr == "" })
 }
 
-// Handler returns a handler that serves requests with next, and relays those for which next responds that the service
-// is unavailable (503) or the outcome is unknown (504).
+// Handler returns a handler that serves callers' requests with next, and relays those for which next responds that the
+// service is unavailable (503) or the outcome is unknown (504). While this instance is behind the configuration of others,
+// it relays all requests.
 func (r *Relay) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		startedAt := time.Now()
+		serve := next
+		if r.configuration.IsBehind() {
+			serve = http.HandlerFunc(r.refuseAsOutdated)
+		}
 		if req.Header.Get(HeaderRelayed) != "" {
-			next.ServeHTTP(w, req)
+			serve.ServeHTTP(w, req)
 			return
 		}
 		body, complete := bufferBody(req)
 		if !complete {
-			next.ServeHTTP(w, req)
+			serve.ServeHTTP(w, req)
 			return
 		}
 		local := response.NewBuffer()
-		next.ServeHTTP(local, req)
+		serve.ServeHTTP(local, req)
 		if retryableElsewhere(local) {
 			local = r.tryPeers(req, body, local, startedAt)
 		}
@@ -119,6 +147,40 @@
 	})
 }
 
+// PeerHandler returns a handler that serves requests relayed by other instances with next. It refuses those of instances
+// with a newer configuration.
+func (r *Relay) PeerHandler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		own, theirs := r.configuration.Version(), versionOf(req.Header)
+		w.Header().Set(HeaderVersion, strconv.FormatUint(own, 10))
+		r.configuration.NoteVersion(theirs)
+		if theirs > own {
+			r.refuseAsOutdated(w, req)
+			return
+		}
+		next.ServeHTTP(w, req)
+	})
+}
+
+// refuseAsOutdated refuses a request because this instance does not apply the newest configuration.
+func (r *Relay) refuseAsOutdated(w http.ResponseWriter, req *http.Request) {
+	r.logger.Info().Str(logging.KeyRequest, path.Base(req.URL.Path)).Str("method", req.Method).
+		Str("relayed_by", req.Header.Get(HeaderRelayed)).Uint64(logging.KeyRevision, r.configuration.Version()).
+		Uint64("sender_revision", versionOf(req.Header)).Msg("request not served, configuration is outdated")
+	w.Header().Set(headerRetryAfter, retryAfterSeconds)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// versionOf returns the version of the configuration that the sender of a request or response applies, or 0 if it does not
+// name one.
+func versionOf(header http.Header) uint64 {
+	version, err := strconv.ParseUint(header.Get(HeaderVersion), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
 // bufferBody reads the body of a request into memory, so that it can be sent again. It reports complete as false if the
 // body is longer than maxBodyBytes or can't be read; the request can then still be served by this instance.
 func bufferBody(req *http.Request) (body []byte, complete bool) {
@@ -135,7 +197,7 @@
 }
 
 // tryPeers relays a request to other instances and returns the response for the caller. Once the outcome is unknown
-// (504), a refusal (503) no longer replaces it, because it would claim that the request had no effect.
+// (504), a refusal no longer replaces it, because it would claim that the request had no effect.
 func (r *Relay) tryPeers(req *http.Request, body []byte, local *response.Buffer, startedAt time.Time) *response.Buffer {
 	tried := 0
 	for _, peer := range r.candidates() {
@@ -145,15 +207,15 @@
 		}
 		got, err := r.send(req, body, peer, left)
 		tried++
-		r.recordResult(req, peer, local, got, err, startedAt)
+		result := r.resultOf(req.Method, local, got, err)
+		r.recordResult(req, peer, local, got, err, result, startedAt)
 		switch {
+		case result == resultServed:
+			return got
 		case err != nil && !neverSent(err):
 			local.Status = http.StatusGatewayTimeout
 			local.Header().Del(headerRetryAfter)
-		case err != nil:
-		case !retryableElsewhere(got):
-			return got
-		case got.Status == http.StatusGatewayTimeout:
+		case err == nil && got.Status == http.StatusGatewayTimeout:
 			local = got
 		}
 	}
@@ -163,7 +225,45 @@
 	return local
 }
 
-const headerRetryAfter = "Retry-After"
+// Results of relaying a request to a peer, as the label of a metric and in logs.
+const (
+	resultServed   = "served"
+	resultNoAnswer = "no-answer"
+	// resultRefused means that the peer could not serve the request either.
+	resultRefused = "refused"
+	// resultOutdated means that the peer refused the request by an older configuration than that of this instance.
+	resultOutdated = "outdated"
+	// resultInconclusive means that the peer refused a request that this instance or another peer may have carried out.
+	resultInconclusive = "inconclusive"
+)
+
+// resultOf returns the result of a relayed request. The response stands only if it is resultServed.
+func (r *Relay) resultOf(method string, local, got *response.Buffer, err error) string {
+	if err != nil {
+		return resultNoAnswer
+	}
+	version := versionOf(got.Header())
+	got.Header().Del(HeaderVersion)
+	r.configuration.NoteVersion(version)
+	outcomeUnknown := local.Status == http.StatusGatewayTimeout && method != http.MethodGet
+	switch {
+	case retryableElsewhere(got):
+		return resultRefused
+	case got.Status < http.StatusBadRequest:
+		return resultServed
+	case version < r.configuration.Version():
+		return resultOutdated
+	case outcomeUnknown && got.Status != http.StatusGone:
+		return resultInconclusive
+	}
+	return resultServed
+}
+
+const (
+	headerRetryAfter = "Retry-After"
+	// retryAfterSeconds is the Retry-After value of refused requests.
+	retryAfterSeconds = "1"
+)
 
 // candidates returns the peers to try in this order: the last one that served a request, then others at random.
 func (r *Relay) candidates() []Peer {
@@ -198,6 +298,7 @@
 	out.Header = req.Header.Clone()
 	out.Header.Del("Connection")
 	out.Header.Set(HeaderRelayed, r.self)
+	out.Header.Set(HeaderVersion, strconv.FormatUint(r.configuration.Version(), 10))
 	r.deadline.SetRemaining(out, left)
 	resp, err := r.client.Do(out)
 	if err != nil {
@@ -221,14 +322,11 @@
 }
 
 // recordResult counts and logs a relayed request and updates the state of the peer.
-func (r *Relay) recordResult(req *http.Request, peer Peer, local, got *response.Buffer, err error, startedAt time.Time) {
-	result, status := "served", 0
-	switch {
-	case err != nil:
-		result = "no-answer"
-	case retryableElsewhere(got):
-		result, status = "refused", got.Status
-	default:
+func (r *Relay) recordResult(
+	req *http.Request, peer Peer, local, got *response.Buffer, err error, result string, startedAt time.Time,
+) {
+	status := 0
+	if err == nil {
 		status = got.Status
 	}
 	r.results.WithLabelValues(result).Inc()
@@ -238,12 +336,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch result {
-	case "served":
+	case resultServed:
 		r.lastGood, r.outageUntil = peer.Name, time.Time{}
-	case "no-answer":
+	case resultNoAnswer:
 		r.cooldownUntil[peer.Name] = time.Now().Add(peerCooldown)
 	}
-	if result != "served" && r.lastGood == peer.Name {
+	if result != resultServed && r.lastGood == peer.Name {
 		r.lastGood = ""
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -60,8 +60,17 @@
 }
 
 // newRelay returns a relay with peers at the addresses, and with two entries that SetPeers has to omit.
-func newRelay(addrs ...string) *Relay {
-	r := New("self", headerDeadline{}, zerolog.Nop(), prometheus.NewRegistry())
+func newRelay(addrs ...string) *Relay { return newRelayAt(&configuration{}, addrs...) }
+
+// configuration is a Configuration of which the test sets the versions.
+type configuration struct{ version, noted uint64 }
+
+func (c *configuration) Version() uint64            { return c.version }
+func (c *configuration) NoteVersion(version uint64) { c.noted = max(c.noted, version) }
+func (c *configuration) IsBehind() bool             { return c.noted > c.version }
+
+func newRelayAt(c *configuration, addrs ...string) *Relay {
+	r := New("self", headerDeadline{}, c, zerolog.Nop(), prometheus.NewRegistry())
 	var peers []Peer
 	for i, addr := range addrs {
 		peers = append(peers, Peer{Name: "p" + strconv.Itoa(i), Addr: addr})
@@ -71,15 +80,29 @@
 }
 
 func post(r *Relay, local http.HandlerFunc, header ...string) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(http.MethodPost, "http://h.example/q/5c0e7a21d94b36f8?x=1", strings.NewReader("body"))
+	return exchange(r.Handler(local), http.MethodPost, header...)
+}
+
+func exchange(handler http.Handler, method string, header ...string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, "http://h.example/q/5c0e7a21d94b36f8?x=1", strings.NewReader("body"))
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
 	got := httptest.NewRecorder()
-	r.Handler(local).ServeHTTP(got, request)
+	handler.ServeHTTP(got, request)
 	return got
 }
 
+// statusAt returns a handler that responds with a status by a version of the configuration, 0 for a build that names none.
+func statusAt(version, code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if version > 0 {
+			w.Header().Set(HeaderVersion, strconv.Itoa(version))
+		}
+		status(code)(w, r)
+	}
+}
+
 // Guards against a refusal (503) by an instance that is the only one without access to the store, and against a 503,
 // which claims that the request had no effect, once a peer may have served it.
 func TestRelayedResponseStatus(t *testing.T) {
@@ -177,3 +200,83 @@
 		t.Errorf("%d requests not served, %d peers cooling down", notServed, len(unresponsive.cooldownUntil))
 	}
 }
+
+// Guards against an answer by an older configuration that is passed on: an instance that has served a new queue answered
+// 404 for it later (review/5). And against a refusal (404 or 429) of a request that may have been carried out already: a
+// caller was told that there is no such queue although its job was stored.
+func TestRefusalOfAPeerStandsOnlyIfItIsTrue(t *testing.T) {
+	const own = 2
+	for name, c := range map[string]struct {
+		method      string
+		local       int
+		peer        http.HandlerFunc
+		want        int
+		wantVersion uint64
+	}{
+		"no such queue by an older configuration":       {"GET", 503, statusAt(1, 404), 503, 1},
+		"no such queue by the same configuration":       {"GET", 503, statusAt(2, 404), 404, 2},
+		"no such queue by a newer configuration":        {"GET", 503, statusAt(3, 404), 404, 3},
+		"no such queue by an older build":               {"GET", 503, statusAt(0, 404), 503, 0},
+		"job stored by an older configuration":          {"POST", 503, statusAt(1, 200), 200, 1},
+		"outcome unknown, no such queue at a peer":      {"POST", 504, statusAt(3, 404), 504, 3},
+		"outcome unknown, too many requests at a peer":  {"POST", 504, statusAt(2, 429), 504, 2},
+		"outcome unknown, stored by a peer":             {"POST", 504, statusAt(2, 200), 200, 2},
+		"cancellation unknown, no such queue at a peer": {"DELETE", 504, statusAt(3, 404), 504, 3},
+		"cancellation unknown, no such job at a peer":   {"DELETE", 504, statusAt(2, 410), 410, 2},
+		"state not read, no such queue at a peer":       {"GET", 504, statusAt(3, 404), 404, 3},
+	} {
+		current := &configuration{version: own}
+		r := newRelayAt(current, serve(t, c.peer))
+		got := exchange(r.Handler(status(c.local)), c.method)
+		if got.Code != c.want || current.noted != c.wantVersion {
+			t.Errorf("%s: status %d, want %d; noted version %d, want %d", name, got.Code, c.want, current.noted, c.wantVersion)
+		}
+		if after := got.Header().Get(headerRetryAfter); (after != "") != (c.want == 503) {
+			t.Errorf("%s: status %d, Retry-After %q", name, got.Code, after)
+		}
+		if version := got.Header().Get(HeaderVersion); version != "" {
+			t.Errorf("%s: the caller is told the version %s", name, version)
+		}
+	}
+}
+
+// Guards against a request that is served by an older configuration than that of the instance that relays it.
+func TestInstanceWithOlderConfigurationRefusesRelayedRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		header       string
+		want, served int
+	}{
+		"older sender":            {"1", 200, 1},
+		"same version":            {"2", 200, 1},
+		"newer sender":            {"3", 503, 0},
+		"build without a version": {"", 200, 1},
+		"not a number":            {"x", 200, 1},
+	} {
+		current := &configuration{version: 2}
+		served := 0
+		handler := newRelayAt(current).PeerHandler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+		got := exchange(handler, http.MethodPost, HeaderRelayed, "other", HeaderVersion, c.header)
+		if got.Code != c.want || served != c.served || got.Header().Get(HeaderVersion) != "2" {
+			t.Errorf("%s: status %d, served %d times, version %q", name, got.Code, served, got.Header().Get(HeaderVersion))
+		}
+		if current.IsBehind() != (c.want == 503) {
+			t.Errorf("%s: noted version %d", name, current.noted)
+		}
+	}
+}
+
+// Guards against an instance that knows of a newer configuration, since a peer has answered by it, and goes on by its own.
+func TestInstanceBehindOthersRelaysItsRequests(t *testing.T) {
+	current := &configuration{version: 2, noted: 3}
+	served := 0
+	local := func(http.ResponseWriter, *http.Request) { served++ }
+	if got := post(newRelayAt(current, serve(t, statusAt(3, 404))), local); got.Code != http.StatusNotFound {
+		t.Errorf("status %d, want that of the peer", got.Code)
+	}
+	if got := post(newRelayAt(current), local); got.Code != http.StatusServiceUnavailable || got.Header().Get(headerRetryAfter) == "" {
+		t.Errorf("without peers: status %d, Retry-After %q", got.Code, got.Header().Get(headerRetryAfter))
+	}
+	if served != 0 {
+		t.Errorf("served %d times", served)
+	}
+}
