--- a/placement/interference.go
+++ b/placement/interference.go
@@ -57,13 +57,14 @@
 	updatedAt time.Duration
 }
 
-type imagePair struct{ latencyCritical, bestEffort string }
+// effectsOf holds the effects of the best-effort tasks of one image, by the latency-critical image.
+type effectsOf map[string]estimate
 
 // InterferenceModel learns how much best-effort tasks raise the tail latency of latency-critical tasks on the same worker.
 // It is not safe for concurrent use.
 type InterferenceModel struct {
-	// effects holds the pairs of images that have been measured together.
-	effects map[imagePair]estimate
+	// effects holds the pairs of images that have been measured together, by the best-effort image.
+	effects map[string]effectsOf
 	loads   map[jobs.ID]*jobLoad
 	// lowestTails holds the lowest tail latency measured for each latency-critical image.
 	lowestTails map[string]time.Duration
@@ -72,7 +73,7 @@
 // NewInterferenceModel returns a model without measurements.
 func NewInterferenceModel() *InterferenceModel {
 	return &InterferenceModel{
-		effects: make(map[imagePair]estimate), loads: make(map[jobs.ID]*jobLoad), lowestTails: make(map[string]time.Duration),
+		effects: make(map[string]effectsOf), loads: make(map[jobs.ID]*jobLoad), lowestTails: make(map[string]time.Duration),
 	}
 }
 
@@ -83,10 +84,25 @@
 }
 
 func (m *InterferenceModel) effect(latencyCritical, bestEffort string) estimate {
-	if known, ok := m.effects[imagePair{latencyCritical, bestEffort}]; ok {
-		return known
+	effect, _ := m.effects[bestEffort].on(latencyCritical)
+	return effect
+}
+
+// on returns the effect on a latency-critical image, and whether the two images have been measured together.
+func (e effectsOf) on(latencyCritical string) (effect estimate, measured bool) {
+	if known, ok := e[latencyCritical]; ok {
+		return known, true
+	}
+	return estimate{defaultPairEffect, maxPairVariance}, false
+}
+
+func (m *InterferenceModel) setEffect(latencyCritical, bestEffort string, effect estimate) {
+	effects := m.effects[bestEffort]
+	if effects == nil {
+		effects = make(effectsOf)
+		m.effects[bestEffort] = effects
 	}
-	return estimate{defaultPairEffect, maxPairVariance}
+	effects[latencyCritical] = effect
 }
 
 // maxNegligibleEffect is the effect up to which interference counts as negligible.
@@ -146,7 +162,7 @@
 		gain := effect.variance * share / totalVariance
 		effect.mean = clamp(effect.mean+gain*residual, 0, maxPairEffect)
 		effect.variance = max(minPairVariance, effect.variance*(1-gain*share))
-		m.effects[imagePair{s.Image, image}] = effect
+		m.setEffect(s.Image, image, effect)
 	}
 	gain := intrinsic.variance / totalVariance
 	intrinsic.mean = clamp(intrinsic.mean+gain*residual, 0, maxLoad)
@@ -240,25 +256,47 @@
 // minDivisorEffect keeps the admissible share finite for images that do not interfere at all.
 const minDivisorEffect = 1e-3
 
+// loadMargin is the load that further best-effort tasks may add to the latency-critical tasks of one image on a node.
+type loadMargin struct {
+	image  string
+	margin float64
+}
+
+// loadMargins returns the load margins of the latency-critical images on a node. They are the same for best-effort tasks of
+// all images, so they are kept until the account or the measurements of the node change.
+func (m *InterferenceModel) loadMargins(node *Node) []loadMargin {
+	if len(node.margins) == 0 {
+		for image, group := range node.LatencyCriticalByImage {
+			margin := m.loadAtTargetShare(image, group.Target, admissionTargetShare) - m.expectedLoad(node, image, group)
+			node.margins = append(node.margins, loadMargin{image, margin})
+		}
+	}
+	return node.margins
+}
+
 // admissibleShare returns the share of a node that further best-effort tasks of an image may use. For a pair of images
 // that has not been measured together, the mean of the default estimate replaces its upper bound while no task of the
 // image runs on the node, so that one task is admitted and supplies measurements.
 func (m *InterferenceModel) admissibleShare(node *Node, image string) float64 {
 	admissible := math.Inf(1)
-	for latencyCritical, group := range node.LatencyCriticalByImage {
-		loadMargin := m.loadAtTargetShare(latencyCritical, group.Target, admissionTargetShare) -
-			m.expectedLoad(node, latencyCritical, group)
-		effect := m.effect(latencyCritical, image).upperBound()
-		if _, seen := m.effects[imagePair{latencyCritical, image}]; !seen && node.BestEffortByImage[image] == 0 {
+	effects := m.effects[image]
+	runsHere := node.BestEffortByImage[image] > 0
+	for _, latencyCritical := range m.loadMargins(node) {
+		estimated, measured := effects.on(latencyCritical.image)
+		effect := estimated.upperBound()
+		if !measured && !runsHere {
 			effect = defaultPairEffect
 		}
-		admissible = math.Min(admissible, loadMargin/math.Max(minDivisorEffect, effect))
+		admissible = math.Min(admissible, latencyCritical.margin/math.Max(minDivisorEffect, effect))
 	}
 	return admissible
 }
 
-// InvalidateAdmissible discards the cached shares, which were derived from earlier measurements of the node.
-func (n *Node) InvalidateAdmissible() { clear(n.admissible) }
+// InvalidateAdmissible discards the cached shares and load margins, which were derived from earlier measurements of the node.
+func (n *Node) InvalidateAdmissible() {
+	clear(n.admissible)
+	n.margins = n.margins[:0]
+}
 
 // WouldInterfere reports whether the best-effort tasks of a node would interfere with a latency-critical task placed there.
 func (m *InterferenceModel) WouldInterfere(node *Node, step *jobs.Step) bool {
--- a/placement/interferencestate.go
+++ b/placement/interferencestate.go
@@ -17,10 +17,12 @@
 	for image, tail := range m.lowestTails {
 		state.Lowest[image] = int64(tail)
 	}
-	for p, effect := range m.effects {
-		state.Effects = append(state.Effects, jobs.Effect{
-			Serving: p.latencyCritical, Filler: p.bestEffort, Mean: effect.mean, Variance: effect.variance,
-		})
+	for bestEffort, effects := range m.effects {
+		for latencyCritical, effect := range effects {
+			state.Effects = append(state.Effects, jobs.Effect{
+				Serving: latencyCritical, Filler: bestEffort, Mean: effect.mean, Variance: effect.variance,
+			})
+		}
 	}
 	slices.SortFunc(state.Effects, func(a, b jobs.Effect) int {
 		return cmp.Or(cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filler, b.Filler))
@@ -39,7 +41,7 @@
 	for _, effect := range state.Effects {
 		inRange := effect.Mean >= 0 && effect.Mean <= maxPairEffect && effect.Variance > 0 && effect.Variance <= maxPairVariance
 		if inRange {
-			m.effects[imagePair{effect.Serving, effect.Filler}] = estimate{effect.Mean, effect.Variance}
+			m.setEffect(effect.Serving, effect.Filler, estimate{effect.Mean, effect.Variance})
 		}
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -33,6 +33,8 @@
 	// admissible caches the share of the worker that further best-effort tasks of an image may use. It is cleared when the
 	// account changes.
 	admissible map[string]float64
+	// margins caches the load margins of the latency-critical images, likewise; empty if they are to be computed.
+	margins []loadMargin
 
 	// Penalty is the placement penalty of a worker that failed, stalled or refused; larger is worse.
 	Penalty int
@@ -89,7 +91,7 @@
 func (n *Node) Release(step *jobs.Step) { n.account(step, -1) }
 
 func (n *Node) account(step *jobs.Step, sign int) {
-	clear(n.admissible)
+	n.InvalidateAdmissible()
 	r := step.Reserved()
 	n.Used.CPU += sign * r.CPU
 	n.Used.MemoryMB += sign * r.MemoryMB
@@ -137,26 +139,6 @@
 	}
 }
 
-// Reason says why a task was not placed.
-type Reason string
-
-// The reasons. The map specificity ranks them.
-const (
-	ReasonNone         Reason = ""
-	ReasonNoWorker     Reason = "no-worker"
-	ReasonNotAllowed   Reason = "not-allowed-by-advice"
-	ReasonNoLabel      Reason = "no-worker-with-label"
-	ReasonTooLarge     Reason = "larger-than-any-worker"
-	ReasonNoCapacity   Reason = "no-room"
-	ReasonNoMemory     Reason = "no-memory"
-	ReasonNoUnusedCPU  Reason = "no-processors-left-over"
-	ReasonSpread       Reason = "spread-over-workers"
-	ReasonInterference Reason = "kept-apart-from-serving-tasks"
-	ReasonHeadroom     Reason = "headroom-for-more-urgent-tasks"
-	ReasonNonLocal     Reason = "far-from-its-data"
-	ReasonDegraded     Reason = "troubled-worker"
-)
-
 // Request asks for a worker for one task.
 type Request struct {
 	Step    *jobs.Step
@@ -182,36 +164,6 @@
 	AllowStarved bool
 }
 
-// maxFeasibleNodes bounds the feasible workers that are compared for a task without preferences, so that the cost of a
-// placement does not grow with the number of workers.
-const maxFeasibleNodes = 40
-
-// Choose returns the best worker, or nil and why there is none.
-func Choose(nodes []*Node, request Request) (*Node, Reason) {
-	var best *Node
-	var bestScore float64
-	reason := ReasonNoWorker
-	feasible := 0
-	for i := range nodes {
-		node := nodes[(i+request.Offset)%len(nodes)]
-		refusal := check(node, &request)
-		if refusal != ReasonNone {
-			reason = moreSpecific(reason, refusal)
-			continue
-		}
-		if score := scoreNode(node, &request); best == nil || score > bestScore {
-			best, bestScore = node, score
-		}
-		if feasible++; feasible >= maxFeasibleNodes && !request.needsFullSearch() {
-			break
-		}
-	}
-	if best != nil {
-		return best, ReasonNone
-	}
-	return nil, reason
-}
-
 // ChooseHold returns the worker on which to hold capacity for a task that fits on no worker now: the one with the most
 // free CPU among those on which the task will fit when the batch tasks there have ended. It returns nil if there is none.
 func ChooseHold(nodes []*Node, request Request) *Node {
@@ -256,21 +208,9 @@
 	return r.Step.LatencyCritical() || r.Step.Affinity != "" || r.Step.RackSensitive
 }
 
-// specificity orders the reasons: Choose returns the most specific one that any worker gave.
-var specificity = map[Reason]int{
-	ReasonNoWorker: 0, ReasonNotAllowed: 1, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonNonLocal: 2, ReasonDegraded: 2, ReasonSpread: 3, ReasonInterference: 4, ReasonHeadroom: 5, ReasonNoCapacity: 6, ReasonNoMemory: 6, ReasonNoUnusedCPU: 6,
-}
-
-func moreSpecific(a, b Reason) Reason {
-	if specificity[b] > specificity[a] {
-		return b
-	}
-	return a
-}
-
 // check returns the reason for which a task cannot be placed on a worker; ReasonNone means that it can.
 func check(node *Node, request *Request) Reason {
-	step := request.Step
+	step, reserved := request.Step, request.Step.Reserved()
 	switch {
 	case !node.Usable || node.Registration.Service != request.Service:
 		return ReasonNoWorker
@@ -283,10 +223,10 @@
 		return ReasonNoLabel
 	case request.LocalOnly && !node.Registration.HasLabel(step.Affinity):
 		return ReasonNonLocal
-	case !step.Reserved().Fits(node.Registration.Capacity):
+	case !reserved.Fits(node.Registration.Capacity):
 		return ReasonTooLarge
-	case !step.Reserved().Fits(node.availableTo(request)):
-		return shortage(step.Reserved(), node.availableTo(request))
+	case !reserved.Fits(node.availableTo(request)):
+		return shortage(reserved, node.availableTo(request))
 	case !step.BestEffort && node.Free().CPU-step.Resources.CPU < request.Headroom:
 		return ReasonHeadroom
 	case step.AntiAffinity > 0 && request.OnNode(node.Registration.ID) >= step.AntiAffinity:
