Examine a full fleet once for each step, from an index of free capacity

A cycle walked over all 1,100 accounts for each task, and on a full fleet once more for each step that cannot be placed; the effects on each latency-critical image were summed up for each image of best-effort tasks. Change: a search serves all tasks of a step and looks again only at the worker chosen last. An index in one block of memory, brought up to date at the begin of a cycle, tells which workers lack capacity. The load that a worker's latency-critical tasks bear is computed once for all images. Reasons are numbers. With carriers a cycle takes a third of the time instead of half. Ruled out: a shorter list of workers to look at, which would change the choices.

--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -25,6 +25,7 @@
 	t.compactOrder()
 	t.refreshHolds()
 	t.observeFree()
+	t.nodeIndex.Refresh(t.nodes.all)
 	clear(t.canPlaceTwoByStep)
 	t.placementFailures = placement.Failures{}
 	t.scheduledAt = now
@@ -125,6 +126,7 @@
 	var allowed func(workers.ID) bool
 	haveAdvice := false
 	refusedHeadroom := math.MaxInt
+	search := t.nodeIndex.NewSearch()
 	for _, task := range tasks {
 		// All tasks of a step request the same resources. Long-running ones may have to leave different headroom, which
 		// depends on how long each has waited; those that have to leave no less than a refused one are not tried.
@@ -138,7 +140,7 @@
 		if !haveAdvice {
 			allowed, haveAdvice = t.allowed(j, o, number, now), true
 		}
-		if !t.place(j, task, tasks, allowed) {
+		if !t.place(j, task, tasks, search, allowed) {
 			refusedHeadroom = min(refusedHeadroom, t.headroom(task, now))
 			t.holdCapacity(j, task, tasks, allowed, now)
 			t.explainWait(j, task, tasks, now)
@@ -150,18 +152,18 @@
 }
 
 // place assigns a task to the best worker and reports whether there is one.
-func (t *Term) place(j *job, task *task, siblings []*task, allowed func(workers.ID) bool) bool {
+func (t *Term) place(j *job, task *task, siblings []*task, search *placement.Search, allowed func(workers.ID) bool) bool {
 	request := t.request(j, task, siblings)
 	request.Allowed = allowed
 	if t.placementFailures.Infeasible(&request) {
 		return false
 	}
-	node, reason := placement.Choose(t.nodes.all, request)
+	node, reason := search.Choose(request)
 	if node == nil {
 		t.placementFailures.Note(&request, reason)
 		t.refusals[reason]++
 		t.noteRefusal(j.queue.Service, task.step, reason)
-		t.opts.Metrics.placementFailed(string(reason))
+		t.opts.Metrics.placementFailed(reason.String())
 		return false
 	}
 	t.assign(j, task, t.nodes.workers[node], task.attempt+1)
@@ -200,7 +202,10 @@
 	request := placement.Request{
 		Step: task.step, Service: j.queue.Service, Avoid: task.avoidWorker, Interference: t.interference,
 		Headroom: t.headroom(task, t.scheduledAt), Offset: t.nextOffset(),
-		OnNode: func(id workers.ID) int { return countOnWorker(siblings, id) },
+	}
+	if task.step.AntiAffinity > 0 {
+		onNode := countByWorker(siblings)
+		request.OnNode = func(id workers.ID) int { return onNode[id] }
 	}
 	if task.step.RackSensitive {
 		request.RackInUse = rackOf(siblings)
@@ -228,14 +233,15 @@
 	return t.placementOffset
 }
 
-func countOnWorker(tasks []*task, id workers.ID) int {
-	count := 0
+// countByWorker counts the tasks that may be running by their workers.
+func countByWorker(tasks []*task) map[workers.ID]int {
+	counts := make(map[workers.ID]int)
 	for _, task := range tasks {
-		if task.current != nil && task.current.worker.id() == id {
-			count++
+		if task.current != nil {
+			counts[task.current.worker.id()]++
 		}
 	}
-	return count
+	return counts
 }
 
 func rackOf(tasks []*task) string {
@@ -261,7 +267,7 @@
 	t.markChanged(j)
 	a.recordSequence = j.sequence
 	j.unsent = append(j.unsent, a)
-	t.log.Info().Stringer(logging.KeyTask, task.id).Int(logging.KeyAttempt, attempt).
+	t.detailLog.Info().Stringer(logging.KeyTask, task.id).Int(logging.KeyAttempt, attempt).
 		Str(logging.KeyWorker, string(w.id())).Str("queue", j.spec.Queue).Uint64(logging.KeyRevision, t.revision()).
 		Int("free_cpu", w.node.Free().CPU).Int("leftover_cpu", w.node.UnusedCPU()).
 		Dur("clock_age", t.opts.Clock()-w.clockAt).Msg("attempt placed")
@@ -288,14 +294,15 @@
 	chosen := make([]*placement.Node, 0, len(tasks))
 	onNode := make(map[workers.ID]int)
 	rack := ""
+	search := t.nodeIndex.NewSearch()
 	for range tasks {
-		node, reason := placement.Choose(t.nodes.all, placement.Request{
+		node, reason := search.Choose(placement.Request{
 			Step: step, Service: j.queue.Service, RackInUse: rack, Interference: t.interference, Allowed: allowed, AllowStarved: allowStarved,
 			OnNode: func(id workers.ID) int { return onNode[id] },
 		})
 		if node == nil {
 			t.noteRefusal(j.queue.Service, step, reason)
-			t.opts.Metrics.placementFailed(string(reason))
+			t.opts.Metrics.placementFailed(reason.String())
 			break
 		}
 		node.Reserve(step)
--- a/execution/term.go
+++ b/execution/term.go
@@ -39,6 +39,9 @@
 	// Now returns the wall-clock time; Clock is monotonic.
 	Now    func() time.Time
 	Logger zerolog.Logger
+	// DetailSampler says whether the log has room for lines on single attempts; nil if it always has. On a busy fleet it
+	// saves the cost of lines that would be dropped.
+	DetailSampler zerolog.Sampler
 	// AttemptLeaseDuration is how long a worker keeps running attempts without contact to the leader.
 	AttemptLeaseDuration time.Duration
 	// RemoteDataFactor is how many times as long a task takes when its data is not local; 0 if unknown.
@@ -72,10 +75,11 @@
 	minCommitInterval = 15 * time.Millisecond
 	// minScheduleInterval is the minimum time between two scheduling cycles. After a long cycle the next one waits for
 	// scheduleBackoffFactor times its duration, so that scheduling does not delay the other work of the leader. With
-	// carriers, which make the calls, there is less other work, and carriedBackoffFactor applies.
+	// carriers, which make the calls, there is less other work, and carriedBackoffFactor applies: a third of the time is
+	// for scheduling, the rest for handling results and storing records.
 	minScheduleInterval   = 10 * time.Millisecond
 	scheduleBackoffFactor = 4
-	carriedBackoffFactor  = 1
+	carriedBackoffFactor  = 2
 	// minPassInterval is the minimum time between two passes over the workers. After a long pass the next one waits for
 	// passBackoffFactor times its duration.
 	minPassInterval   = 4 * time.Millisecond
@@ -102,6 +106,8 @@
 	// events is the queue of events for the control goroutine.
 	events chan func()
 	log    zerolog.Logger
+	// detailLog writes the lines on single attempts.
+	detailLog zerolog.Logger
 
 	// jobs holds the live jobs; order holds them in the order in which they are scheduled.
 	jobs  map[jobs.ID]*job
@@ -185,6 +191,10 @@
 	// examine the nodes.
 	scheduledAt     time.Duration
 	placementOffset int
+	// nodeIndex is the index of the nodes for one scheduling cycle.
+	nodeIndex placement.Index
+	// recordEntries is the buffer for the entries of one progress record.
+	recordEntries []jobs.TaskRecord
 	// failure is the error with which the term ends; nil while it goes on.
 	failure error
 	// loading is set while the tables are read at the start of the term.
@@ -201,9 +211,10 @@
 
 // NewTerm returns a term for a leader.
 func NewTerm(opts Options, leader *leadership.Leader) *Term {
+	log := opts.Logger.With().Uint64(logging.KeyEpoch, leader.Epoch()).Logger()
 	return &Term{
 		opts: opts, leader: leader, events: make(chan func(), maxQueuedEvents),
-		log:  opts.Logger.With().Uint64(logging.KeyEpoch, leader.Epoch()).Logger(),
+		log: log, detailLog: log.Sample(opts.DetailSampler),
 		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), earlyCancels: make(map[jobs.ID]bool), setAside: make(map[jobs.ID]bool),
 		pools: make(map[string]*pool), workersWithAcks: make(map[*worker]struct{}),
 		unconfirmed: make(map[*taskAttempt]struct{}), queueWork: make(queueWorkMeans), waves: make(map[int]*wave), cordoned: make(map[string]int),
--- a/placement/interference.go
+++ b/placement/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bronzehook/jobs"
@@ -68,12 +69,15 @@
 	loads   map[jobs.ID]*jobLoad
 	// lowestTails holds the lowest tail latency measured for each latency-critical image.
 	lowestTails map[string]time.Duration
+	// compatibleShares caches CompatibleShare until the next sample.
+	compatibleShares map[string]float64
 }
 
 // NewInterferenceModel returns a model without measurements.
 func NewInterferenceModel() *InterferenceModel {
 	return &InterferenceModel{
 		effects: make(map[string]effectsOf), loads: make(map[jobs.ID]*jobLoad), lowestTails: make(map[string]time.Duration),
+		compatibleShares: make(map[string]float64),
 	}
 }
 
@@ -111,13 +115,19 @@
 // CompatibleShare returns the share of the latency-critical images with which best-effort tasks of an image are known to interfere
 // only negligibly.
 func (m *InterferenceModel) CompatibleShare(bestEffort string) float64 {
+	if share, cached := m.compatibleShares[bestEffort]; cached {
+		return share
+	}
 	negligible := 0
+	effects := m.effects[bestEffort]
 	for latencyCritical := range m.lowestTails {
-		if m.effect(latencyCritical, bestEffort).upperBound() < maxNegligibleEffect {
+		if effect, _ := effects.on(latencyCritical); effect.upperBound() < maxNegligibleEffect {
 			negligible++
 		}
 	}
-	return float64(negligible) / float64(max(1, len(m.lowestTails)))
+	share := float64(negligible) / float64(max(1, len(m.lowestTails)))
+	m.compatibleShares[bestEffort] = share
+	return share
 }
 
 // loadFromTail returns the load that a tail latency of a latency-critical image implies.
@@ -146,6 +156,7 @@
 
 // Learn updates the estimates with a sample and returns the intrinsic load of the task.
 func (m *InterferenceModel) Learn(s Sample) float64 {
+	clear(m.compatibleShares)
 	if lowest, ok := m.lowestTails[s.Image]; !ok || s.TailLatency < lowest {
 		m.lowestTails[s.Image] = s.TailLatency
 	}
@@ -274,6 +285,12 @@
 	return node.margins
 }
 
+// bearsNoMoreLoad reports whether the load margin of a latency-critical image on the node is known to be used up, so that no
+// best-effort task is admitted.
+func (n *Node) bearsNoMoreLoad() bool {
+	return slices.ContainsFunc(n.margins, func(m loadMargin) bool { return m.margin < 0 })
+}
+
 // admissibleShare returns the share of a node that further best-effort tasks of an image may use. For a pair of images
 // that has not been measured together, the mean of the default estimate replaces its upper bound while no task of the
 // image runs on the node, so that one task is admitted and supplies measurements.
--- a/placement/interferencestate.go
+++ b/placement/interferencestate.go
@@ -33,6 +33,7 @@
 
 // Restore loads the state that an earlier leadership term saved. Values out of range are ignored.
 func (m *InterferenceModel) Restore(state *jobs.InterferenceState) {
+	clear(m.compatibleShares)
 	for image, tail := range state.Lowest {
 		if tail > 0 {
 			m.lowestTails[image] = time.Duration(tail)
--- a/placement/reason.go
+++ b/placement/reason.go
@@ -40,6 +40,9 @@
 	ReasonInterference: 4, ReasonHeadroom: 5, ReasonNoCapacity: 6, ReasonNoMemory: 6, ReasonNoUnusedCPU: 6,
 }
 
+// isShortage reports whether a task was refused for want of capacity. No reason is more specific.
+func (r Reason) isShortage() bool { return specificity[r] == specificity[ReasonNoCapacity] }
+
 // moreSpecific returns b if it is more specific than a, else a.
 func moreSpecific(a, b Reason) Reason {
 	if specificity[b] > specificity[a] {
--- a/placement/search.go
+++ b/placement/search.go
@@ -1,82 +1,202 @@
 package placement
 
+import (
+	"math"
+	"slices"
+
+	"bronzehook/workers"
+)
+
 // maxFeasibleNodes bounds the feasible workers that are compared for a task without preferences, so that the cost of a
 // placement does not grow with the number of workers.
 const maxFeasibleNodes = 40
 
-// Search chooses workers for the tasks of one step, one after the other. Between two choices capacity may be reserved, but not
-// released: a worker that has refused a task of the step then refuses the next ones too, so each worker is examined
-// once, and only the feasible ones again. A full fleet, where nearly all workers refuse, costs one pass for the step
-// instead of one for each task.
-type Search struct {
+// Index holds the free capacity of the workers in one block of memory, for the searches of one scheduling cycle. On a full fleet
+// nearly all workers refuse a task for want of capacity, and the index tells so without looking at their accounts. It
+// may overstate free capacity, as accounts are changed beside it.
+type Index struct {
 	nodes []*Node
+	room  []room
+}
+
+// room is the free capacity of a worker.
+type room struct {
+	// cpu and memoryMB are available to long-running tasks, batchCPU and batchMemoryMB to others.
+	cpu, memoryMB           int
+	batchCPU, batchMemoryMB int
+	// unusedCPU is the CPU that best-effort tasks find unused: enough for any on a worker that runs none, and none on one whose
+	// latency-critical tasks bear no further load.
+	unusedCPU int
+}
+
+func roomOf(node *Node) room {
+	free := node.Free()
+	r := room{
+		cpu: free.CPU, memoryMB: free.MemoryMB, batchCPU: free.CPU - node.Held.CPU, batchMemoryMB: free.MemoryMB - node.Held.MemoryMB,
+		unusedCPU: math.MaxInt,
+	}
+	switch {
+	case node.bearsNoMoreLoad():
+		r.unusedCPU = math.MinInt
+	case node.BestEffortTasks > 0:
+		r.unusedCPU = node.UnusedCPU()
+	}
+	return r
+}
+
+// demand is the capacity that a worker needs to have for a request.
+type demand struct {
+	cpu, memoryMB, unusedCPU int
+	longRunning              bool
+}
+
+func demandOf(request *Request) demand {
+	step := request.Step
+	reserved := step.Reserved()
+	d := demand{cpu: reserved.CPU, memoryMB: reserved.MemoryMB, unusedCPU: math.MinInt, longRunning: step.LongRunning}
+	switch {
+	case !step.BestEffort:
+		d.cpu += request.Headroom
+	case !request.AllowStarved:
+		d.unusedCPU = step.Resources.CPU / bestEffortOvercommit
+	}
+	return d
+}
+
+// covers reports whether the room may be enough for a demand.
+func (r *room) covers(d *demand) bool {
+	if d.longRunning {
+		return r.cpu >= d.cpu && r.memoryMB >= d.memoryMB && r.unusedCPU >= d.unusedCPU
+	}
+	return r.batchCPU >= d.cpu && r.batchMemoryMB >= d.memoryMB && r.unusedCPU >= d.unusedCPU
+}
+
+// Refresh brings the index up to date with the accounts of the workers.
+func (x *Index) Refresh(nodes []*Node) {
+	x.nodes, x.room = nodes, x.room[:0]
+	for _, node := range nodes {
+		x.room = append(x.room, roomOf(node))
+	}
+}
+
+// Search chooses workers for the tasks of one step, one after the other. Between two choices the caller reserves capacity on the
+// worker chosen last and changes no other account. A worker that has refused a task of the step then refuses the next ones
+// too, and one that has not is as good as before, so that only the worker chosen last is looked at again.
+type Search struct {
+	index *Index
 	// kind is what the refusals so far depend on besides the step.
-	kind requestKind
+	kind   requestKind
+	demand demand
+	// avoid and rackInUse are what the scores depend on besides the step.
+	avoid     workers.ID
+	rackInUse string
 	// offset rotates the order in which the workers are examined; examined of them have been.
 	offset, examined int
-	// feasible holds the workers that did not refuse when last examined, and reason the most specific refusal.
-	feasible []*Node
-	reason   Reason
+	// candidates holds the workers that did not refuse, chosen the position among them of the one chosen last, -1 if there is
+	// none, and reason the most specific refusal.
+	candidates []candidate
+	chosen     int
+	reason     Reason
 }
 
-// NewSearch returns a search over workers for the tasks of one step.
-func NewSearch(nodes []*Node) *Search { return &Search{nodes: nodes, reason: ReasonNoWorker} }
+// candidate is a worker that can take a task.
+type candidate struct {
+	// position is that of the worker in the index.
+	position int
+	score    float64
+}
+
+// NewSearch returns a search for the tasks of one step.
+func (x *Index) NewSearch() *Search { return &Search{index: x, chosen: -1, reason: ReasonNoWorker} }
 
 // Choose returns the best worker for a task, or nil and why there is none.
 func (s *Search) Choose(request Request) (*Node, Reason) {
 	if kind := kindOf(&request); s.examined == 0 || kind != s.kind {
-		*s = Search{nodes: s.nodes, kind: kind, offset: request.Offset, feasible: s.feasible[:0], reason: ReasonNoWorker}
+		s.restart(&request, kind)
+	}
+	s.refreshChosen(&request)
+	if request.Avoid != s.avoid || request.RackInUse != s.rackInUse {
+		s.rescore(&request)
 	}
-	s.recheck(&request)
 	s.examineMore(&request)
-	var best *Node
-	var bestScore float64
-	for _, node := range s.feasible {
-		if score := scoreNode(node, &request); best == nil || score > bestScore {
-			best, bestScore = node, score
+	s.chosen = -1
+	for i := range s.candidates {
+		if s.chosen < 0 || s.candidates[i].score > s.candidates[s.chosen].score {
+			s.chosen = i
 		}
 	}
-	if best == nil {
+	if s.chosen < 0 {
 		return nil, s.reason
 	}
-	return best, ReasonNone
+	return s.index.nodes[s.candidates[s.chosen].position], ReasonNone
 }
 
-// recheck drops the workers that have ceased to be feasible since the last choice.
-func (s *Search) recheck(request *Request) {
-	kept := s.feasible[:0]
-	for _, node := range s.feasible {
-		if s.accepts(node, request) {
-			kept = append(kept, node)
-		}
+// restart begins to examine the workers anew, for a request to which the refusals so far do not apply.
+func (s *Search) restart(request *Request, kind requestKind) {
+	*s = Search{
+		index: s.index, kind: kind, demand: demandOf(request), avoid: request.Avoid, rackInUse: request.RackInUse,
+		offset: request.Offset, candidates: s.candidates[:0], chosen: -1, reason: ReasonNoWorker,
+	}
+}
+
+// refreshChosen checks and scores the worker chosen last again.
+func (s *Search) refreshChosen(request *Request) {
+	if s.chosen < 0 {
+		return
+	}
+	c := &s.candidates[s.chosen]
+	if s.accepts(c.position, request) {
+		c.score = scoreNode(s.index.nodes[c.position], request)
+		return
 	}
-	s.feasible = kept
+	// The order is kept, since the first of equal candidates is chosen.
+	s.candidates = slices.Delete(s.candidates, s.chosen, s.chosen+1)
 }
 
-// examineMore examines further workers, until enough of them are feasible or all have been examined.
+// rescore scores all candidates again, for a request with other preferences.
+func (s *Search) rescore(request *Request) {
+	s.avoid, s.rackInUse = request.Avoid, request.RackInUse
+	for i := range s.candidates {
+		s.candidates[i].score = scoreNode(s.index.nodes[s.candidates[i].position], request)
+	}
+}
+
+// examineMore examines further workers, until enough of them are candidates or all have been examined.
 func (s *Search) examineMore(request *Request) {
 	enough := maxFeasibleNodes
 	if request.needsFullSearch() {
-		enough = len(s.nodes)
+		enough = len(s.index.nodes)
 	}
-	for s.examined < len(s.nodes) && len(s.feasible) < enough {
-		node := s.nodes[(s.examined+s.offset)%len(s.nodes)]
+	for s.examined < len(s.index.nodes) && len(s.candidates) < enough {
+		i := (s.examined + s.offset) % len(s.index.nodes)
 		s.examined++
-		if s.accepts(node, request) {
-			s.feasible = append(s.feasible, node)
+		// Once the reason is a shortage, no other refusal replaces it, so that none has to be determined.
+		if s.reason.isShortage() && !s.index.room[i].covers(&s.demand) {
+			continue
+		}
+		if s.accepts(i, request) {
+			s.candidates = append(s.candidates, candidate{i, scoreNode(s.index.nodes[i], request)})
 		}
 	}
 }
 
-// accepts reports whether a task can be placed on a worker, and notes the reason if it cannot.
-func (s *Search) accepts(node *Node, request *Request) bool {
+// accepts reports whether a task can be placed on the worker at a position, and notes the reason if it cannot.
+func (s *Search) accepts(i int, request *Request) bool {
+	node := s.index.nodes[i]
 	refusal := check(node, request)
 	if refusal == ReasonNone {
 		return true
 	}
 	s.reason = moreSpecific(s.reason, refusal)
+	if refusal.isShortage() || refusal == ReasonInterference {
+		s.index.room[i] = roomOf(node)
+	}
 	return false
 }
 
 // Choose returns the best worker for a single task, or nil and why there is none.
-func Choose(nodes []*Node, request Request) (*Node, Reason) { return NewSearch(nodes).Choose(request) }
+func Choose(nodes []*Node, request Request) (*Node, Reason) {
+	var index Index
+	index.Refresh(nodes)
+	return index.NewSearch().Choose(request)
+}
