Store urgent records first, and encode only what has changed

The lines on single attempts were formatted before the log dropped most of them. Change: up to half of a commit is for jobs of top priority; an encoder keeps the encoding of tasks that have not changed, with the same bytes; the loggers of single attempts ask the log for room first.

--- a/cmd/bronzehook/main.go
+++ b/cmd/bronzehook/main.go
@@ -69,7 +69,7 @@
 	// The log level is global, so that a reload of the settings can change it.
 	zerolog.SetGlobalLevel(level)
 	logger := logging.New(out, zerolog.TraceLevel).With().Str(logging.KeyInstance, s.ID).Logger()
-	if err := entry.Run(s, logger); err != nil {
+	if err := entry.Run(s, logger, out); err != nil {
 		logger.Error().AnErr("error", err).Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("instance failed")
 		return fault.Describe(err).Exit
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,14 +52,15 @@
 // softMemoryShare is the share of the instance's memory that is set as the soft memory limit of the Go runtime.
 const softMemoryShare = 0.6
 
-// Run starts the process and serves until a stop signal. SIGHUP reloads the settings file.
-func Run(s *Settings, logger zerolog.Logger) error {
+// Run starts the process and serves until a stop signal. SIGHUP reloads the settings file. The sampler says whether the log
+// has room for lines on single attempts.
+func Run(s *Settings, logger zerolog.Logger, detailSampler zerolog.Sampler) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryLimit * softMemoryShare * (1 << 20)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	reloader := newReloader(s.LogLevel, logger)
-	proc := assemble(s, logger)
+	proc := assemble(s, logger, detailSampler)
 	if err := proc.kernel.Start(context.Background()); err != nil {
 		return err
 	}
@@ -95,7 +96,7 @@
 	responseDeadline atomic.Int64
 }
 
-func assemble(s *Settings, logger zerolog.Logger) *process {
+func assemble(s *Settings, logger zerolog.Logger, detailSampler zerolog.Sampler) *process {
 	registry := prometheus.NewRegistry()
 	platformStore := platform.NewStore(s.StoreAddr)
 	health := platformStore.Health()
@@ -114,7 +115,7 @@
 		handoverRequestAfter: handoverRequestAfter, handoverCheckInterval: handoverCheckInterval,
 		options: execution.Options{
 			Table: table, Workers: measure.Workers(workersClient, registry), Carriers: carriers, Manifest: provider, WorkersTable: platform.WorkersTable,
-			ParseRegistration: platform.ParseRegistration, Invalid: reporter, Guard: guard, Clock: leadership.BootTime, Now: clock.now, Logger: logger,
+			ParseRegistration: platform.ParseRegistration, Invalid: reporter, Guard: guard, Clock: leadership.BootTime, Now: clock.now, Logger: logger, DetailSampler: detailSampler,
 			AttemptLeaseDuration: s.AttemptLeaseDuration(), RemoteDataFactor: s.RemoteDataFactor,
 			Retention: toDuration(s.Retention, time.Second), Metrics: execution.NewMetrics(registry),
 			Waves: waves, WaveStatus: platform.WaveStatus, MachineHandoverDelay: toDuration(s.MachineHandoverDelay, time.Millisecond),
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	p := assemble(settings, zerolog.New(zerolog.NewTestWriter(s.t)).Level(zerolog.WarnLevel))
+	p := assemble(settings, zerolog.New(zerolog.NewTestWriter(s.t)).Level(zerolog.WarnLevel), nil)
 	if err := p.kernel.Start(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -124,7 +124,7 @@
 
 // countTermination updates a task after the termination of an attempt. ran is the run time of the attempt, 0 if unknown.
 func (t *Term) countTermination(w *worker, task *task, termination workers.Termination, ran time.Duration) {
-	t.log.Info().Stringer(logging.KeyTask, termination.Task).Int(logging.KeyAttempt, termination.Attempt).
+	t.detailLog.Info().Stringer(logging.KeyTask, termination.Task).Int(logging.KeyAttempt, termination.Attempt).
 		Str(logging.KeyWorker, string(w.id())).Str("cause", string(termination.Cause)).Int("failures", task.failureCount()).
 		Dur("ran", ran).Msg("attempt ended")
 	t.opts.Metrics.ended(termination.Cause)
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -96,7 +96,7 @@
 		a.phase, a.confirmedAt, a.progressAt = phaseRunning, now, now
 		t.opts.Metrics.started(now - a.task.readyAt)
 		a.startedAt = now
-		t.log.Info().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
+		t.detailLog.Info().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
 			Str(logging.KeyWorker, string(w.id())).Dur("waited", now-a.task.readyAt).Msg("attempt started")
 		t.markStarted(a.task.job)
 		return
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -98,6 +98,7 @@
 	var txn store.Txn
 	var batch []change
 	size := 0
+	t.records.promoteUrgent()
 	for len(t.records.dirty) > 0 && txn.Len() < store.MaxEntries-maxEntriesPerJob && size < store.MaxBytes/2 {
 		j := t.records.dirty[0]
 		t.records.dirty = t.records.dirty[1:]
@@ -105,9 +106,9 @@
 		if j.removed || j.removable() || !j.verified || j.sequence == j.committedSequence {
 			continue
 		}
-		record := t.recordOf(j)
-		if len(record.Tasks) > 0 {
-			put := store.Put{Key: store.ProgressKey(string(j.spec.ID)), Value: jobs.Encode(record)}
+		t.recordEntries = j.appendRecord(t.recordEntries[:0])
+		if len(t.recordEntries) > 0 {
+			put := store.Put{Key: store.ProgressKey(string(j.spec.ID)), Value: j.encoder.Encode(t.recordEntries)}
 			txn.Puts = append(txn.Puts, put)
 			size += len(put.Value)
 			j.recorded = true
@@ -213,26 +214,25 @@
 	return removed
 }
 
-// recordOf returns the progress record of a job, from which a later term restores it.
-func (t *Term) recordOf(j *job) *jobs.Record {
-	record := &jobs.Record{}
+// appendRecord appends the entries of the progress record of a job, from which a later term restores it.
+func (j *job) appendRecord(entries []jobs.TaskRecord) []jobs.TaskRecord {
 	for _, o := range j.occurrences {
 		if o == nil {
 			continue
 		}
 		for s, step := range o.steps {
-			first := len(record.Tasks)
+			first := len(entries)
 			for _, task := range step {
 				if task.attempt > 0 {
-					record.Tasks = append(record.Tasks, task.record())
+					entries = append(entries, task.record())
 				}
 			}
 			if f := o.gangFailures[s]; f != nil {
-				f.store(record.Tasks[first:])
+				f.store(entries[first:])
 			}
 		}
 	}
-	return record
+	return entries
 }
 
 // record returns the entry of a task in the progress record of its job.
--- a/execution/commitqueue.go
+++ b/execution/commitqueue.go
@@ -31,6 +31,27 @@
 // maxStateDelay bounds how long the stored public state of a started job may be out of date so that jobs share a commit.
 const maxStateDelay = time.Second
 
+// maxUrgentRecords bounds the records that are stored out of turn by one commit, so that others are stored as well.
+const maxUrgentRecords = store.MaxEntries / 2
+
+// promoteUrgent moves the jobs of top priority to the front of the dirty ones, up to maxUrgentRecords. Start commands wait
+// for their records, and on a busy fleet more jobs change than one commit can store.
+func (q *commitQueue) promoteUrgent() {
+	if len(q.dirty) <= maxUrgentRecords {
+		return
+	}
+	urgent := make([]*job, 0, maxUrgentRecords)
+	others := make([]*job, 0, len(q.dirty))
+	for _, j := range q.dirty {
+		if len(urgent) < maxUrgentRecords && j.queueKnown && j.queue.Priority == 0 {
+			urgent = append(urgent, j)
+			continue
+		}
+		others = append(others, j)
+	}
+	q.dirty = append(urgent, others...)
+}
+
 // due reports whether a commit queue of public states has something to store.
 func (q *commitQueue) due(now time.Duration) bool {
 	return len(q.dirty) > 0 || len(q.expiredStateKeys) > 0 || (len(q.deferred) > 0 && now >= q.deferredUntil)
--- a/execution/model.go
+++ b/execution/model.go
@@ -141,6 +141,8 @@
 	// change.
 	sequence          uint64
 	committedSequence uint64
+	// encoder encodes the progress record.
+	encoder jobs.RecordEncoder
 	// inRecords and inStates are set while the job waits in a commit queue of records or states. liveAttempts counts
 	// the attempts that may be running, and unsent holds those whose start command waits for the record.
 	inRecords, inStates bool
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -130,6 +132,10 @@
 
 // Encode returns the stored form of a value.
 func Encode[T Spec | Record | PublicState | Counts | InterferenceState](value *T) []byte {
+	return marshal(value)
+}
+
+func marshal(value any) []byte {
 	encoded, err := cbor.Marshal(value)
 	if err != nil {
 		// The types hold only numbers, strings, booleans, slices and maps, which always encode.
@@ -138,6 +144,57 @@
 	return encoded
 }
 
+// RecordEncoder encodes the progress record of a job whose tasks change one by one. It keeps the encoding of each task until the
+// task's entry changes, so that a job of many tasks costs little more than the tasks that have changed.
+type RecordEncoder struct {
+	tasks []encodedTask
+}
+
+// encodedTask is an entry of a record with its encoding.
+type encodedTask struct {
+	entry   TaskRecord
+	encoded []byte
+}
+
+// Encode returns what Encode returns for a record with these entries.
+func (e *RecordEncoder) Encode(entries []TaskRecord) []byte {
+	size := 0
+	for i := range entries {
+		if i == len(e.tasks) {
+			e.tasks = append(e.tasks, encodedTask{})
+		}
+		cached := &e.tasks[i]
+		if cached.encoded == nil || cached.entry != entries[i] {
+			cached.entry, cached.encoded = entries[i], marshal(&entries[i])
+		}
+		size += len(cached.encoded)
+	}
+	// A record is an array whose only element is the array of its entries.
+	record := append(make([]byte, 0, size+maxArrayHeader+1), arrayHeader(1)...)
+	record = append(record, arrayHeader(len(entries))...)
+	for i := range entries {
+		record = append(record, e.tasks[i].encoded...)
+	}
+	return record
+}
+
+// maxArrayHeader is the length in bytes of the longest header that arrayHeader returns.
+const maxArrayHeader = 5
+
+// arrayHeader returns the header of a CBOR array of a length: its major type, and the length in as few bytes as possible.
+func arrayHeader(length int) []byte {
+	const major = 0x80
+	switch {
+	case length < 24:
+		return []byte{major | byte(length)}
+	case length <= math.MaxUint8:
+		return []byte{major | 24, byte(length)}
+	case length <= math.MaxUint16:
+		return binary.BigEndian.AppendUint16([]byte{major | 25}, uint16(length))
+	}
+	return binary.BigEndian.AppendUint32([]byte{major | 26}, uint32(length))
+}
+
 // Decode reads what Encode returned.
 func Decode[T Spec | Record | PublicState | Counts | InterferenceState](kind string, encoded []byte) (*T, error) {
 	var value T
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 )
 
 // Limits and intervals of a Bounded writer.
@@ -98,6 +99,18 @@
 	return len(line), nil
 }
 
+// Sample implements zerolog.Sampler for loggers of lines that are not important: it reports whether such a line would be
+// written now. A logger that goes by it does not spend time on lines that would be dropped.
+func (b *BoundedWriter) Sample(zerolog.Level) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Now().Unix() != b.currentSecond || b.detailLines < maxDetailLinesPerSecond {
+		return true
+	}
+	b.dropped++
+	return false
+}
+
 // allowDetail counts a line that is not important and reports whether it is within the limit of the current second.
 func (b *BoundedWriter) allowDetail() bool {
 	if now := time.Now().Unix(); now != b.currentSecond {
