Compare answers of peers with the newest manifest that is known

Cause: an instance at version 13, rejected by the store, relayed one request to an instance at 21 and the next to one at 17; it compared the versions of the answers with its own, not with the newest that it had passed on. Change: a relayed request names the newest version that its sender knows of, and an answer by an older one is treated as refused.

--- a/manifest/provider.go
+++ b/manifest/provider.go
@@ -62,8 +62,8 @@
 // Behind returns the channel that receives a value when a newer manifest than the current one becomes known to exist.
 func (p *Provider) Behind() <-chan struct{} { return p.behind }
 
-// Newest returns the newest version that another instance has named; to be passed to ConfirmCurrent.
-func (p *Provider) Newest() uint64 { return p.newest.Load() }
+// Newest returns the newest version that is known to exist: the current one, or a newer one that another instance has named.
+func (p *Provider) Newest() uint64 { return max(p.newest.Load(), p.Version()) }
 
 // ConfirmCurrent notes that a read of the stored manifest, begun when the newest known version was the given one, has been
 // applied. What an instance has named by then and the store does not have was an error.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,7 +34,8 @@
 const (
 	// HeaderRelayed holds the name of the instance that relayed a request. A relayed request is not relayed again.
 	HeaderRelayed = "Bronzehook-Relayed"
-	// HeaderVersion holds the version of the configuration that the sender applies. Older builds do not send it.
+	// HeaderVersion holds the newest version of the configuration that the sender of a request knows of, or the version that
+	// the sender of a response applies. Older builds do not send it.
 	HeaderVersion = "Bronzehook-Configuration-Version"
 )
 
@@ -71,6 +72,8 @@
 	Version() uint64
 	// NoteVersion notes that another instance applies a version.
 	NoteVersion(version uint64)
+	// Newest returns the newest version that is known to exist.
+	Newest() uint64
 	// IsBehind reports whether a newer version is known to exist than the one that this instance applies.
 	IsBehind() bool
 }
@@ -231,7 +234,7 @@
 	resultNoAnswer = "no-answer"
 	// resultRefused means that the peer could not serve the request either.
 	resultRefused = "refused"
-	// resultOutdated means that the peer refused the request by an older configuration than that of this instance.
+	// resultOutdated means that the peer refused the request by an older configuration than the newest known one.
 	resultOutdated = "outdated"
 	// resultInconclusive means that the peer refused a request that this instance or another peer may have carried out.
 	resultInconclusive = "inconclusive"
@@ -251,7 +254,7 @@
 		return resultRefused
 	case got.Status < http.StatusBadRequest:
 		return resultServed
-	case version < r.configuration.Version():
+	case version < r.configuration.Newest():
 		return resultOutdated
 	case outcomeUnknown && got.Status != http.StatusGone:
 		return resultInconclusive
@@ -298,7 +301,7 @@
 	out.Header = req.Header.Clone()
 	out.Header.Del("Connection")
 	out.Header.Set(HeaderRelayed, r.self)
-	out.Header.Set(HeaderVersion, strconv.FormatUint(r.configuration.Version(), 10))
+	out.Header.Set(HeaderVersion, strconv.FormatUint(r.configuration.Newest(), 10))
 	r.deadline.SetRemaining(out, left)
 	resp, err := r.client.Do(out)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -67,6 +67,7 @@
 
 func (c *configuration) Version() uint64            { return c.version }
 func (c *configuration) NoteVersion(version uint64) { c.noted = max(c.noted, version) }
+func (c *configuration) Newest() uint64             { return max(c.noted, c.version) }
 func (c *configuration) IsBehind() bool             { return c.noted > c.version }
 
 func newRelayAt(c *configuration, addrs ...string) *Relay {
@@ -280,3 +281,20 @@
 		t.Errorf("served %d times", served)
 	}
 }
+
+// Guards against an instance that is behind and passes on the answers of two peers in turn, first of one with a newer
+// configuration and then of one with an older. A day of the review broke the rule CONFIG for that reason (seed 2).
+func TestInstanceBehindOthersFollowsTheNewestOnly(t *testing.T) {
+	current := &configuration{version: 1, noted: 3}
+	var named string
+	peer := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		named = r.Header.Get(HeaderVersion)
+		statusAt(2, http.StatusNotFound)(w, r)
+	})
+	if got := post(newRelayAt(current, peer), status(http.StatusOK)); got.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d by version 2, though version 3 is known", got.Code)
+	}
+	if named != "3" {
+		t.Errorf("the request names version %s", named)
+	}
+}
