Take the version of the manifest from its provider, and search only for steps with waiting tasks

Found on reading the change: the leader and the intake computed the version that Provider.Version now returns, and each cycle made a search for every step of every job, also for those with nothing to place. A nil search takes the place of the flag for the advice; behaviour stays as it was.

--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -124,9 +124,8 @@
 		return
 	}
 	var allowed func(workers.ID) bool
-	haveAdvice := false
+	var search *placement.Search
 	refusedHeadroom := math.MaxInt
-	search := t.nodeIndex.NewSearch()
 	for _, task := range tasks {
 		// All tasks of a step request the same resources. Long-running ones may have to leave different headroom, which
 		// depends on how long each has waited; those that have to leave no less than a refused one are not tried.
@@ -137,8 +136,8 @@
 			t.holdCapacity(j, task, tasks, allowed, now)
 			continue
 		}
-		if !haveAdvice {
-			allowed, haveAdvice = t.allowed(j, o, number, now), true
+		if search == nil {
+			search, allowed = t.nodeIndex.NewSearch(), t.allowed(j, o, number, now)
 		}
 		if !t.place(j, task, tasks, search, allowed) {
 			refusedHeadroom = min(refusedHeadroom, t.headroom(task, now))
@@ -274,12 +273,7 @@
 	return a
 }
 
-func (t *Term) revision() uint64 {
-	if m := t.opts.Manifest.Current(); m != nil {
-		return m.Version
-	}
-	return 0
-}
+func (t *Term) revision() uint64 { return t.opts.Manifest.Version() }
 
 // placeGang places all tasks of a gang under one attempt number, or none of them.
 func (t *Term) placeGang(j *job, tasks []*task, step *jobs.Step, allowed func(workers.ID) bool) {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -133,12 +133,7 @@
 }
 
 // revision returns the version of the current manifest, or 0 if there is none.
-func (s *Service) revision() uint64 {
-	if m := s.manifest.Current(); m != nil {
-		return m.Version
-	}
-	return 0
-}
+func (s *Service) revision() uint64 { return s.manifest.Version() }
 
 // submit reports whether the job was already stored.
 func (s *Service) submit(ctx context.Context, spec *jobs.Spec) (stored bool, err error) {
