--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,20 @@
 	os.Exit(play(cases[os.Args[1]], os.Args[2]))
 }
 
+// abort ends the case and its processes after a signal, or when it takes too long.
+func (l *Lab) abort() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case received := <-signals:
+		l.record.Note("ended by signal %v", received)
+	case <-time.After(playLimit):
+		l.record.Note("the case took too long")
+	}
+	l.Close()
+	os.Exit(exitNotRun)
+}
+
 // play plays one case and returns its exit code.
 func play(run func(*Lab) []string, folder string) (code int) {
 	record, err := NewRecord(filepath.Join(folder, "record.txt"))
@@ -50,11 +66,7 @@
 	}()
 	lab := NewLab(record)
 	defer lab.Close()
-	time.AfterFunc(playLimit, func() {
-		record.Note("the case took too long")
-		lab.Close()
-		os.Exit(exitNotRun)
-	})
+	go lab.abort()
 	breaches := run(lab)
 	for _, breach := range breaches {
 		record.Note("BROKEN: %s", breach)
