--- a/review/lab2/case_late.go
+++ b/review/lab2/case_late.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -30,10 +32,7 @@
 
 	id := newIDHook(l)
 	first.submitAs(queuePrefix, id, 6000, step{Count: 1, CPU: 1000, MemMB: 100, Requires: "b"})
-	l.waitFor(30*time.Second, "the job has succeeded", func() bool {
-		time.Sleep(200 * time.Millisecond)
-		return first.State(queuePrefix, id) == "succeeded"
-	})
+	l.settles(30*time.Second, first, queuePrefix, id)
 	return l.ledger.Twice()
 }
 
@@ -46,7 +45,9 @@
 			case <-done:
 				return
 			case <-time.After(100 * time.Millisecond):
-				at.submitAs(queuePrefix, newID(), streamTaskMs, step{Count: 6, CPU: 500, MemMB: 50, Requires: "b"})
+				at.call(http.MethodPost, queuePrefix+newID(), map[string]any{
+					"spec": fmt.Sprintf(`{"ms":%d}`, streamTaskMs), "steps": []step{{Count: 6, CPU: 500, MemMB: 50, Requires: "b"}},
+				})
 			}
 		}
 	}()
--- a/review/lab2/case_pending.go
+++ b/review/lab2/case_pending.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -39,7 +38,7 @@
 	}
 	if l.trouble {
 		time.Sleep(takeoverAfter)
-		leader.Signal(syscall.SIGTERM)
+		go leader.Restart()
 	}
 	time.Sleep(time.Until(accepted.Add(visibleTime + 500*time.Millisecond)))
 	var breaches []string
--- a/review/lab2/case_reborn.go
+++ b/review/lab2/case_reborn.go
@@ -51,10 +51,7 @@
 		time.AfterFunc(cutTime, func() { w.SetCut(false) })
 	}
 	id := first.Submit(queuePrefix, 300, onW(5))
-	l.waitFor(30*time.Second, "the job has succeeded", func() bool {
-		time.Sleep(200 * time.Millisecond)
-		return first.State(queuePrefix, id) == "succeeded"
-	})
+	l.settles(30*time.Second, first, queuePrefix, id)
 	return l.ledger.Twice()
 }
 
--- a/review/lab2/case_wave.go
+++ b/review/lab2/case_wave.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -34,12 +35,11 @@
 
 	ordered, due := make(chan struct{}, 1), make(chan struct{})
 	if l.trouble {
-		first := true
+		var once atomic.Bool
 		cloud.late = func(order upkeepOrder) <-chan struct{} {
-			if !first || order.Machine != idle.Machine {
+			if order.Machine != idle.Machine || !once.CompareAndSwap(false, true) {
 				return nil
 			}
-			first = false
 			ordered <- struct{}{}
 			return due
 		}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -19,7 +19,7 @@
 	"time"
 )
 
-// Names and ports of the deployment. All processes of one kind use the same ports on addresses of their own.
+// Names of the deployment, and its far_x.
 const (
 	serviceName = "planner"
 	queueName   = "plans"
@@ -32,8 +32,7 @@
 	batchQueue  = "batches"
 	batchPrefix = "/batches/"
 
-	callerPort, readyPort, peerPort = 8161, 8167, 7720
-	farFactor                       = 2
+	farFactor = 2
 	// workerCPU and workerMemMB are the capacity of a worker, in thousandths of a core and MB.
 	workerCPU, workerMemMB = 64_000, 256_000
 )
@@ -58,10 +57,12 @@
 // Instance is one scheduler instance.
 type Instance struct {
 	Name, IP string
-	lab      *Lab
-	command  *exec.Cmd
-	exited   chan struct{}
-	settings string
+	// callerAddr is the address for clients.
+	callerAddr string
+	lab        *Lab
+	command    *exec.Cmd
+	exited     chan struct{}
+	settings   string
 }
 
 // setupError ends a case that cannot run.
@@ -118,17 +119,28 @@
 	})
 }
 
+// freePort returns a port of an address that is free now.
+func (l *Lab) freePort(ip string) string {
+	listener, err := net.Listen("tcp", ip+":0")
+	l.must(err)
+	defer func() { _ = listener.Close() }()
+	_, port, err := net.SplitHostPort(listener.Addr().String())
+	l.must(err)
+	return port
+}
+
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)\}\}`)
 
 // StartInstance renders the settings template of the deploy file and starts an instance with its command.
 func (l *Lab) StartInstance(name string, last int) *Instance {
 	i := &Instance{Name: name, IP: l.host(last), lab: l}
+	i.callerAddr = net.JoinHostPort(i.IP, l.freePort(i.IP))
 	template, err := os.ReadFile("deploy/entry.env")
 	l.must(err)
 	values := map[string]string{
 		"node": name, "region": "r1", "zone": "z1", "ip": i.IP, "advice": "", "cloud.address": l.cloudAddr,
-		"listen.front": fmt.Sprintf("%s:%d", i.IP, callerPort), "listen.ready": fmt.Sprintf("%s:%d", i.IP, readyPort),
-		"port_range.0": fmt.Sprint(peerPort), "platform.address": l.storeAddr, "bounds.lease_ms": "3000",
+		"listen.front": i.callerAddr, "listen.ready": net.JoinHostPort(i.IP, l.freePort(i.IP)),
+		"port_range.0": l.freePort(i.IP), "platform.address": l.storeAddr, "bounds.lease_ms": "3000",
 		"limits.cpu_share": "0.4", "limits.memory_mb": "284", "bounds.hold_max_ms": fmt.Sprint(holdMax),
 		"bounds.grace_s": "6", "bounds.status_s": "120", "bounds.far_x": fmt.Sprint(farFactor),
 	}
@@ -203,7 +215,7 @@
 	if body == nil {
 		encoded = nil
 	}
-	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", i.IP, callerPort, path), bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.callerAddr+path, bytes.NewReader(encoded))
 	i.lab.must(err)
 	request.Host = queueHost
 	request.Header.Set("X-Deadline-Ms", "3000")
@@ -285,6 +297,26 @@
 	return nil
 }
 
+// settles waits until a job is shown as succeeded, and reports whether it was in time. The rule is judged in either case.
+func (l *Lab) settles(limit time.Duration, at *Instance, prefix, id string) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		if at.State(prefix, id) == "succeeded" {
+			l.record.Note("now: job %s has succeeded", id)
+			return true
+		}
+	}
+	l.record.Note("job %s has not succeeded within %s", id, limit)
+	return false
+}
+
+// Restart stops an instance in order and starts it again once it has ended, as the platform does.
+func (i *Instance) Restart() {
+	i.Signal(syscall.SIGTERM)
+	<-i.exited
+	time.Sleep(restartDelay)
+	i.Start()
+}
+
 // ready waits until a job that is handed in at the first instance runs to its end.
 func (l *Lab) ready() {
 	first := l.instances[0]
--- a/review/lab2/ledger.go
+++ b/review/lab2/ledger.go
@@ -95,6 +95,18 @@
 	return found
 }
 
+// IdleSince reports whether nothing has run on any worker since a time.
+func (l *Ledger) IdleSince(since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.runs {
+		if r.end.IsZero() || r.end.After(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // Twice returns the breaches of TWICE: two runs of a task at the same time, or a start after a run has ended done whose end
 // is taken note of.
 func (l *Ledger) Twice() []string {
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -194,7 +194,7 @@
 	}
 	life, _ := r.Context().Value(lifeKey{}).(int)
 	w.mu.Lock()
-	current, up := w.life, w.up
+	current, up, onCall := w.life, w.up, w.onCall
 	w.mu.Unlock()
 	switch {
 	case !up:
@@ -206,8 +206,8 @@
 		return
 	}
 	var e effect
-	if w.onCall != nil {
-		e = w.onCall(r.URL.Path, &c)
+	if onCall != nil {
+		e = onCall(r.URL.Path, &c)
 	}
 	switch {
 	case e.unhealthy:
