Rule out every start of an attempt before its task is placed again

A worker gave no answer to a start, answered 503 to the repeated one and nothing to the first stop; the leader took the attempt for lost at the next inventory without it and started the next one elsewhere; seconds later the worker carried out the first start.

Cause: the refusal of the repeated start was taken as word on the first one (confirmedAt was set). A worker that refuses for want of health, capacity or a ticket says nothing about another call that it may still carry out.

Change: one rule, taskAttempt.ruledOutBy: an inventory without the attempt proves its absence only if its poll had a higher fencing token than every start of it, or if the worker had answered a start or stop of it before. It replaces the special case of inherited attempts. Only the refusals "ended already" and "older token" hold for all starts. If two stops get no answer, the token is raised and the next poll decides. A denied start is polled for at once, instead of after the wait of the poll in flight.

Ruled out: expired leases, a second leader, a stop that was never sent (it was, but no more once taken for lost).

--- a/execution/carriers.go
+++ b/execution/carriers.go
@@ -73,13 +73,7 @@
 func (t *Term) changeCarrier(w *worker, carrier string) {
 	t.releaseCarrier(w)
 	w.carrier = carrier
-	w.incarnation++
-	w.fenced = false
-	// The poll in flight may take as long as its wait. Its response is ignored: what it reports is not acknowledged, and
-	// the next poll reports it, too.
-	w.pollRound++
-	w.polling, w.pendingPolls, w.hedgeAt = false, 0, 0
-	w.nextPoll = t.opts.Clock()
+	t.raiseToken(w)
 }
 
 // reassignCarrier replaces a carrier that is no longer to be used.
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -18,6 +18,9 @@
 	maxStartCommands = 2
 	// stopRetryInterval is the time between two stop commands while none has been answered.
 	stopRetryInterval = 400 * time.Millisecond
+	// maxStopCommands is the number of unanswered stop commands after which the fencing token for the worker is raised to
+	// rule out an attempt of which no start command was answered.
+	maxStopCommands = 2
 	// stopResendInterval is the time after which an answered stop command is sent again if the attempt is still
 	// reported.
 	stopResendInterval = 2 * time.Second
@@ -45,8 +48,10 @@
 		t.unconfirmed[a] = struct{}{}
 	}
 	w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
+	target := t.target(w)
+	a.token = target.FencingToken
 	command := workers.Start{
-		Target: t.target(w), Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
+		Target: target, Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
 		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), LeaseExpiry: w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds(),
 	}
 	if command.Via != "" {
@@ -109,6 +114,9 @@
 	t.log.Warn().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
 		Str(logging.KeyWorker, string(w.id())).Str(logging.KeyReason, string(refused.Reason)).Msg("attempt refused")
 	switch reason := refused.Reason; {
+	case t.refusedOlderToken(w, sentTo, reason) && a.startsPending > 0 && sentTo.FencingToken < a.token:
+		// The start command with the newer token may still be answered.
+		return
 	case t.refusedOlderToken(w, sentTo, reason):
 	case reason == workers.ReasonStaleToken:
 		t.fail(errors.WithStack(&leadership.LostError{Leader: "an instance known to worker " + string(w.id())}))
@@ -123,14 +131,29 @@
 		t.penalise(w, "refuses: "+string(reason))
 	}
 	if a.startsSent > 1 {
-		// An earlier start command had no response and may have taken effect, which a later poll shows.
-		a.confirmedAt = now
+		// Another start command had no response and may have taken effect, or may still do so.
+		if refusesAllStarts(a, sentTo, refused.Reason) {
+			a.confirmedAt = now
+			t.pollAgain(w)
+		}
 		t.abandonStart(a, "refused after a start command without a response")
 		return
 	}
 	t.markLost(a, "refused: "+string(refused.Reason))
 }
 
+// refusesAllStarts reports whether a worker that has refused one start command of an attempt will refuse all others, too. A
+// refusal for want of health or capacity says nothing about a command that is carried out later.
+func refusesAllStarts(a *taskAttempt, sentTo workers.Target, reason workers.Reason) bool {
+	switch reason {
+	case workers.ReasonAlreadyEnded:
+		return true
+	case workers.ReasonStaleToken:
+		return sentTo.FencingToken >= a.token
+	}
+	return false
+}
+
 // handleStartWithoutResponse sends a start command again that had no response, or abandons the start after
 // maxStartCommands.
 func (t *Term) handleStartWithoutResponse(a *taskAttempt, now time.Duration, err error) {
@@ -166,6 +189,7 @@
 			delete(t.unconfirmed, a)
 		case a.stopping && now >= a.stopAt:
 			a.stopAt = now + stopRetryInterval
+			t.ruleOutLateStart(a)
 			t.sendStop(a)
 		case a.stopping:
 		case a.retryDue && now >= a.retryAt:
@@ -180,11 +204,24 @@
 	}
 }
 
+// ruleOutLateStart raises the fencing token for a worker that answers polls but no stop command for an attempt. Otherwise
+// it would not be known whether the worker still starts the attempt, and its task would not be placed again.
+func (t *Term) ruleOutLateStart(a *taskAttempt) {
+	w := a.worker
+	if a.phase != phaseSent || a.stopConfirmed || a.stopsSent < maxStopCommands || t.target(w).FencingToken > a.token {
+		return
+	}
+	t.log.Warn().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).Str(logging.KeyWorker, string(w.id())).
+		Int("stops", a.stopsSent).Msg("orders to stop without an answer, fencing token raised")
+	t.raiseToken(w)
+}
+
 // sendStop sends a stop command for an attempt. After an answered one it waits for stopResendInterval.
 func (t *Term) sendStop(a *taskAttempt) {
 	if a.stopConfirmed && t.opts.Clock()-a.confirmedAt < stopResendInterval {
 		return
 	}
+	a.stopsSent++
 	target := t.target(a.worker)
 	if target.Addr == "" {
 		return
@@ -213,9 +250,14 @@
 		}
 		return
 	}
-	if !a.stopConfirmed {
-		a.stopConfirmed = true
-		a.confirmedAt = t.opts.Clock()
-		a.worker.nextPoll = 0
+	if a.stopConfirmed {
+		return
+	}
+	a.stopConfirmed = true
+	a.confirmedAt = t.opts.Clock()
+	a.worker.nextPoll = 0
+	if a.deniedStart() {
+		// No termination will end a long poll in flight.
+		t.pollAgain(a.worker)
 	}
 }
--- a/execution/model.go
+++ b/execution/model.go
@@ -4,8 +4,8 @@
 //
 // Three rules prevent work from being lost or done twice. An attempt is recorded before its start command is sent. A
 // termination is recorded before it is acknowledged, that is, before the worker may discard it. A task gets its next
-// attempt only after the worker has reported the last one as terminated, or has answered a poll without reporting it,
-// or after every attempt lease granted for it has expired.
+// attempt only after the worker has reported the last one as terminated, or has answered a poll that rules it out (see
+// taskAttempt.ruledOutBy), or after every attempt lease granted for it has expired.
 package execution
 
 import (
@@ -41,8 +41,10 @@
 	// recordSequence is the change sequence number of the job with which the attempt was created. The start command is
 	// sent once that change is stored.
 	recordSequence uint64
-	// confirmedAt is when the worker last confirmed that it has the attempt, or that it will not start it any more. An
-	// attempt that is missing from the response to a poll sent later is not running.
+	// token is the highest fencing token of the start commands; 0 for an attempt of an earlier term, whose tokens were
+	// lower than those of this one.
+	token uint64
+	// confirmedAt is when the worker last confirmed that it has the attempt, or that it will not start it any more.
 	confirmedAt time.Duration
 	// retryAt is when the start command is to be sent again; it has no meaning unless retryDue is set.
 	retryAt time.Duration
@@ -54,10 +56,11 @@
 	hedgeAt                   time.Duration
 	// retryDue is set while a start command without a response is to be sent again at retryAt.
 	retryDue bool
-	// stopping is set once the attempt is to be stopped, stopConfirmed once a stop command was answered. stopAt is when
-	// the next stop command is due.
+	// stopping is set once the attempt is to be stopped, stopConfirmed once a stop command was answered. stopsSent counts
+	// the stop commands; stopAt is when the next one is due.
 	stopping      bool
 	stopConfirmed bool
+	stopsSent     int
 	stopAt        time.Duration
 
 	// cpuPercent is the CPU limit of a best-effort task in percent of its share; throttledAt is when it was last
@@ -73,6 +76,31 @@
 	progressAt time.Duration
 }
 
+// ruledOutBy reports whether the response to a poll that does not list the attempt proves that it is not running and will
+// not start. That it is not listed does not prove it: a start command without a response may be carried out after newer
+// calls. The worker refuses it from then on if the poll had a higher fencing token than the command, or if the worker
+// had confirmed the attempt, or a stop command for it, before the poll was sent.
+func (a *taskAttempt) ruledOutBy(request workers.PollRequest, polledAt time.Duration) bool {
+	if a.phase == phaseRecording {
+		return false
+	}
+	return request.FencingToken > a.token || (a.confirmedAt > 0 && a.confirmedAt < polledAt)
+}
+
+// deniedStart reports whether the worker has said that it will not start the attempt, and has not confirmed that it had
+// started it before.
+func (a *taskAttempt) deniedStart() bool { return a.phase == phaseSent && a.confirmedAt > 0 }
+
+// hasDeniedStart reports whether the next poll may rule out an attempt whose start the worker has denied.
+func (w *worker) hasDeniedStart() bool {
+	for _, a := range w.attempts {
+		if a.deniedStart() {
+			return true
+		}
+	}
+	return false
+}
+
 // fullProgress is the progress of a long-running task that is available, and of other tasks when they are done.
 const fullProgress = 100
 
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -48,6 +48,23 @@
 	return workers.Target{ID: w.id(), Addr: w.node.Registration.Addr, FencingToken: token, Via: w.carrier}
 }
 
+// raiseToken makes a worker refuse all calls that were sent to it before, once it has answered the next poll, which is due
+// at once.
+func (t *Term) raiseToken(w *worker) {
+	w.incarnation++
+	w.fenced = false
+	t.pollAgain(w)
+}
+
+// pollAgain makes the next poll of a worker due at once. A poll in flight may take as long as its wait, and shows nothing
+// that happened after it was sent. Its response is ignored: what it reports is not acknowledged, and the next poll
+// reports it, too.
+func (t *Term) pollAgain(w *worker) {
+	w.pollRound++
+	w.polling, w.pendingPolls, w.hedgeAt = false, 0, 0
+	w.nextPoll = t.opts.Clock()
+}
+
 // refusedOlderToken reports whether a worker refused a token as stale because this term itself has used a higher one
 // since.
 func (t *Term) refusedOlderToken(w *worker, sentTo workers.Target, reason workers.Reason) bool {
@@ -55,10 +72,11 @@
 }
 
 // pollWorker starts a poll round. It sends a long poll unless a termination is still to be stored or an orphan to be
-// stopped, or the worker has no attempts or has not accepted the fencing token yet.
+// stopped, or the worker has no attempts or has not accepted the fencing token yet, or its response will rule an attempt
+// out.
 func (t *Term) pollWorker(w *worker, now time.Duration) {
 	request := t.pollRequest(w, now)
-	if w.fenced && len(w.attempts) > 0 && len(w.pendingAcks) == 0 && len(w.orphans) == 0 {
+	if w.fenced && len(w.attempts) > 0 && len(w.pendingAcks) == 0 && len(w.orphans) == 0 && !w.hasDeniedStart() {
 		request.Wait = t.pollWaitFor(w, now)
 	}
 	w.pollRound++
@@ -168,7 +186,7 @@
 			t.handleTermination(w, termination)
 		}
 	}
-	t.reconcile(w, sentAt, now, inventory)
+	t.reconcile(w, request, sentAt, now, inventory)
 	t.recordLatencies(w)
 	t.mitigateInterference(w, now)
 	t.releaseAcksOf(w)
@@ -197,9 +215,9 @@
 }
 
 // reconcile compares the attempts that a worker reports with those that it is expected to run. The poll was sent at
-// polledAt. An attempt that the worker does not report is lost, unless its termination may be among those that the worker
-// has not listed yet.
-func (t *Term) reconcile(w *worker, polledAt, now time.Duration, inventory workers.Inventory) {
+// polledAt. An attempt that the worker does not report is lost if the response rules it out, unless its termination may be
+// among those that the worker has not listed yet.
+func (t *Term) reconcile(w *worker, request workers.PollRequest, polledAt, now time.Duration, inventory workers.Inventory) {
 	reported := make(map[attemptKey]bool, len(inventory.Running))
 	for i := range inventory.Running {
 		running := &inventory.Running[i]
@@ -221,11 +239,7 @@
 		return
 	}
 	for key, a := range w.attempts {
-		if reported[key] || a.phase == phaseRecording {
-			continue
-		}
-		conclusive := a.phase == phaseInherited || (a.confirmedAt > 0 && a.confirmedAt < polledAt)
-		if conclusive {
+		if !reported[key] && a.ruledOutBy(request, polledAt) {
 			t.markLost(a, "not listed by its worker")
 		}
 	}
