Send numbers of an incarnation of a worker to that incarnation only

Their worker had crashed while a long poll waited there and had started again under its ID and address; the hedged poll acknowledged termination 5 of the earlier incarnation, and the later one discarded its own five terminations before it had listed them.

Cause: termination numbers and clocks start anew with each incarnation, but nothing in a call tells incarnations under one ID apart: X-Expected-Instance names the ID, and a worker that has just started has seen no fencing token.

Change: PollRequest.StartTime says whose numbers the acknowledgement and the lease expiry are. Inventory.AckedUpTo says what was sent. Carriers pass both on (bronzehook-carrier/2; leaders of another build make their calls themselves). Related paths: a lease by a foreign clock is waited out up to the workers' own limit; a response to a start from before the restart does not set the clock; a 421 from a former address of a worker says nothing on it; a start that is open may reach the later incarnation, so no poll rules it out.

Ruled out: the limit of an inventory, a second leader, the token.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -39,8 +39,9 @@
 	TextKnown  bool
 	Checkpoint string
 	Ticket     string
-	// LeaseExpiry and AckUpTo are those of a start or poll.
+	// LeaseExpiry is that of a start or poll. StartTime and AckUpTo are those of a poll.
 	LeaseExpiry int64
+	StartTime   int64
 	AckUpTo     int64
 	// Wait and TimeoutMargin are those of a poll, in ms.
 	Wait          int64
@@ -87,6 +88,7 @@
 	Running      []running
 	Terminations []termination
 	Unknown      int
+	AckedUpTo    int64
 }
 
 type running struct {
@@ -108,7 +110,7 @@
 }
 
 func wireInventory(from *workers.Inventory) *inventory {
-	to := &inventory{StartTime: from.StartTime, Unknown: from.Unknown}
+	to := &inventory{StartTime: from.StartTime, Unknown: from.Unknown, AckedUpTo: from.AckedUpTo}
 	for i := range from.Running {
 		r := &from.Running[i]
 		to.Running = append(to.Running, running{
@@ -125,7 +127,7 @@
 }
 
 func (i *inventory) inventory(clock int64) workers.Inventory {
-	to := workers.Inventory{Clock: clock, StartTime: i.StartTime, Unknown: i.Unknown}
+	to := workers.Inventory{Clock: clock, StartTime: i.StartTime, Unknown: i.Unknown, AckedUpTo: i.AckedUpTo}
 	for k := range i.Running {
 		r := &i.Running[k]
 		to.Running = append(to.Running, workers.Running{
--- a/carrier/pool.go
+++ b/carrier/pool.go
@@ -325,8 +325,8 @@
 // PollVia sends a poll through the carrier in its target and calls done with what workers.Client.Poll would return.
 func (p *Pool) PollVia(request workers.PollRequest, done func(workers.Inventory, error)) {
 	p.carry(request.Target, call{
-		Kind: kindPoll, LeaseExpiry: request.LeaseExpiry, AckUpTo: request.AckUpTo, Wait: request.Wait.Milliseconds(),
-		TimeoutMargin: request.TimeoutMargin.Milliseconds(),
+		Kind: kindPoll, StartTime: request.StartTime, LeaseExpiry: request.LeaseExpiry, AckUpTo: request.AckUpTo,
+		Wait: request.Wait.Milliseconds(), TimeoutMargin: request.TimeoutMargin.Milliseconds(),
 	}, func(got result, err error) {
 		if got.Inventory == nil {
 			done(workers.Inventory{Clock: got.Clock}, err)
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -20,7 +20,9 @@
 // Path is the path at which a carrier accepts connections, by an upgrade of HTTP/1.1.
 const Path = "/-/carrier"
 
-const upgradeProtocol = "bronzehook-carrier"
+// upgradeProtocol names the protocol and its version. During a rolling update, a leader makes the calls itself instead of
+// using instances with another version.
+const upgradeProtocol = "bronzehook-carrier/2"
 
 // Timing of a connection.
 const (
@@ -164,7 +166,7 @@
 	case kindPoll:
 		var reported workers.Inventory
 		reported, err = c.client.Poll(c.ctx, workers.PollRequest{
-			Target: request.target(), LeaseExpiry: request.LeaseExpiry, AckUpTo: request.AckUpTo,
+			Target: request.target(), StartTime: request.StartTime, LeaseExpiry: request.LeaseExpiry, AckUpTo: request.AckUpTo,
 			Wait: time.Duration(request.Wait) * time.Millisecond, TimeoutMargin: time.Duration(request.TimeoutMargin) * time.Millisecond,
 		})
 		answer.Clock, answer.Inventory = reported.Clock, wireInventory(&reported)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -52,6 +52,11 @@
 	return min(maxAttemptLease, toDuration(s.AttemptLease, time.Millisecond))
 }
 
+// WorkerLeaseLimit returns the longest attempt lease that workers grant.
+func (s *Settings) WorkerLeaseLimit() time.Duration {
+	return toDuration(s.AttemptLease, time.Millisecond)
+}
+
 // toDuration converts a number of units, which may be fractional, to a duration.
 func toDuration(number float64, unit time.Duration) time.Duration {
 	return time.Duration(number * float64(unit))
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -48,6 +48,7 @@
 		t.unconfirmed[a] = struct{}{}
 	}
 	w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
+	w.startSentAt = now
 	target := t.target(w)
 	a.token = target.FencingToken
 	command := workers.Start{
@@ -55,18 +56,18 @@
 		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), LeaseExpiry: w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds(),
 	}
 	if command.Via != "" {
-		t.opts.Carriers.StartVia(command, func(clock int64, err error) { t.handleStart(a, command.Target, clock, err) })
+		t.opts.Carriers.StartVia(command, func(clock int64, err error) { t.handleStart(a, command.Target, now, clock, err) })
 		return
 	}
 	t.spawn("start command", func() {
 		if !t.leader.Valid() {
 			t.post(func() {
-				t.handleStart(a, command.Target, 0, errors.WithStack(&workers.UnreachableError{Worker: command.ID, Detail: "leadership lease expired"}))
+				t.handleStart(a, command.Target, now, 0, errors.WithStack(&workers.UnreachableError{Worker: command.ID, Detail: "leadership lease expired"}))
 			})
 			return
 		}
 		clock, err := t.opts.Workers.Start(t.ctx, command)
-		t.post(func() { t.handleStart(a, command.Target, clock, err) })
+		t.post(func() { t.handleStart(a, command.Target, now, clock, err) })
 	})
 }
 
@@ -83,8 +84,8 @@
 	t.breakGang(a.task, a.number)
 }
 
-// handleStart handles the response to a start command, or its failure.
-func (t *Term) handleStart(a *taskAttempt, sentTo workers.Target, clock int64, err error) {
+// handleStart handles the response to a start command that was sent at sentAt, or its failure.
+func (t *Term) handleStart(a *taskAttempt, sentTo workers.Target, sentAt time.Duration, clock int64, err error) {
 	now := t.opts.Clock()
 	w := a.worker
 	a.startsPending--
@@ -97,7 +98,9 @@
 		if a.startsPending > 0 {
 			t.lostResponses.note(w.id(), now)
 		}
-		w.noteClock(clock, now)
+		if !w.mayPredate(sentTo, sentAt) {
+			w.noteClock(clock, now)
+		}
 		a.phase, a.confirmedAt, a.progressAt = phaseRunning, now, now
 		t.opts.Metrics.started(now - a.task.readyAt)
 		a.startedAt = now
@@ -121,7 +124,7 @@
 	case reason == workers.ReasonStaleToken:
 		t.fail(errors.WithStack(&leadership.LostError{Leader: "an instance known to worker " + string(w.id())}))
 		return
-	case reason == workers.ReasonIncarnation:
+	case reason == workers.ReasonIncarnation && !w.mayPredate(sentTo, sentAt):
 		t.handleNewIncarnation(w)
 		return
 	case reason == workers.ReasonUnhealthy:
@@ -226,9 +229,9 @@
 	if target.Addr == "" {
 		return
 	}
-	task, attempt := a.task.id, a.number
+	task, attempt, now := a.task.id, a.number, t.opts.Clock()
 	if target.Via != "" {
-		t.opts.Carriers.StopVia(target, task, attempt, func(err error) { t.handleStop(a, err) })
+		t.opts.Carriers.StopVia(target, task, attempt, func(err error) { t.handleStop(a, target, now, err) })
 		return
 	}
 	t.spawn("stop command", func() {
@@ -236,13 +239,17 @@
 			return
 		}
 		err := t.opts.Workers.Stop(t.ctx, target, task, attempt)
-		t.post(func() { t.handleStop(a, err) })
+		t.post(func() { t.handleStop(a, target, now, err) })
 	})
 }
 
-// handleStop handles the response to a stop command. A worker that has answered it does not start the attempt any more,
-// so the next poll shows conclusively whether the attempt is running.
-func (t *Term) handleStop(a *taskAttempt, err error) {
+// handleStop handles the response to a stop command that was sent at sentAt. A worker that has answered it does not start
+// the attempt any more, so the next poll shows conclusively whether the attempt is running. A response that may be of an
+// earlier incarnation shows nothing; the command is sent again.
+func (t *Term) handleStop(a *taskAttempt, sentTo workers.Target, sentAt time.Duration, err error) {
+	if a.worker.mayPredate(sentTo, sentAt) {
+		return
+	}
 	if err != nil {
 		var refused *workers.RefusedError
 		if errors.As(err, &refused) && refused.Reason == workers.ReasonIncarnation {
--- /dev/null
+++ b/execution/incarnation_test.go
@@ -0,0 +1,142 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+const laterStartTime = testStartTime + 5000
+
+// pollAs lets a worker answer a poll that is sent now as the incarnation with a start time, and list nothing.
+func (r *rig) pollAs(w *worker, startTime, clock int64) {
+	r.advanceClock(time.Millisecond)
+	request := r.pollRequest(w, r.clock)
+	r.handlePoll(w, request, r.clock, workers.Inventory{Clock: clock, StartTime: startTime}, nil)
+}
+
+// Guards against terminations that count as acknowledged although the poll did not carry the acknowledgement, or reached
+// another incarnation.
+func TestAcknowledgementCountsIfItWasSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		startTime, acked, want int64
+	}{
+		"sent":                             {testStartTime, 3, 3},
+		"left out":                         {testStartTime, 0, 0},
+		"answered by another incarnation":  {laterStartTime, 0, 0},
+		"for an incarnation that was left": {laterStartTime, 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, memory.New())
+			w := r.addWorker("w", 1000)
+			w.storedUpTo, w.appliedUpTo = 3, 3
+			request := r.pollRequest(w, r.clock)
+			if request.AckUpTo != 3 || request.StartTime != testStartTime {
+				t.Fatalf("acknowledges up to %d of the incarnation %d", request.AckUpTo, request.StartTime)
+			}
+			r.handlePoll(w, request, r.clock, workers.Inventory{StartTime: c.startTime, AckedUpTo: c.acked}, nil)
+			if w.ackedUpTo != c.want {
+				t.Errorf("acknowledged up to %d, want %d", w.ackedUpTo, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a task that runs twice: one of its start commands was still open when the worker started again under its
+// ID, and the later incarnation carried it out after it had listed nothing.
+func TestOpenStartMayReachLaterIncarnation(t *testing.T) {
+	r, client, w := newDelayedRig(t)
+	r.submit("a", oneStep(1, 100))
+	client.setDelaying(true)
+	r.scheduleAndCommit()
+	client.setDelaying(false)
+	r.advanceClock(hedgeAfter)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+	if a := r.onlyAttempt(w); a.phase != phaseRunning || a.startsPending != 1 {
+		t.Fatalf("phase %d, %d start commands open", a.phase, a.startsPending)
+	}
+	r.pollAs(w, laterStartTime, 10)
+	if len(w.attempts) != 1 {
+		t.Fatal("lost while a start command is open")
+	}
+	client.fail()
+	r.handleEvents()
+	r.pollAs(w, laterStartTime, 20)
+	if len(w.attempts) != 0 {
+		t.Error("not lost although no start command is open")
+	}
+}
+
+// Guards against lease expiries by the clock of an earlier incarnation, which the present one takes for a far longer lease:
+// the response to a start from before the restart arrived after that to a poll.
+func TestClockOfEarlierIncarnationIsIgnored(t *testing.T) {
+	r, client, w := newDelayedRig(t)
+	client.fakeWorkers.clock = 500_000
+	r.submit("a", oneStep(1, 100))
+	client.setDelaying(true)
+	r.scheduleAndCommit()
+	client.setDelaying(false)
+	r.pollAs(w, laterStartTime, 10)
+	client.respond()
+	r.handleEvents()
+	if w.clock != 10 {
+		t.Errorf("clock %d, the present incarnation reported 10", w.clock)
+	}
+}
+
+// Guards against a second attempt while the first one runs: a start by the clock of an earlier incarnation gave the worker a
+// lease up to its own limit, and it became unresponsive.
+func TestLeaseByForeignClockIsWaitedOut(t *testing.T) {
+	const limit = 2 * testAttemptLease
+	r := newRig(t, memory.New())
+	r.opts.WorkerLeaseLimit = limit
+	w := r.addWorker("w", 1000)
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	a := r.onlyAttempt(w)
+	r.advanceClock(time.Millisecond)
+	inventory := workers.Inventory{Clock: 10, StartTime: laterStartTime, Running: []workers.Running{{Task: a.task.id, Attempt: a.number}}}
+	r.handlePoll(w, r.pollRequest(w, r.clock), r.clock, inventory, nil)
+	answered := r.clock
+	r.handlePollFailure(w, r.target(w), r.clock, &workers.UnreachableError{Worker: w.id()})
+	r.advanceClock(limit - time.Millisecond)
+	r.expireAttempts(r.clock)
+	if len(w.attempts) != 1 {
+		t.Fatalf("lost %v after the worker has answered", r.clock-answered)
+	}
+	r.advanceClock(limit)
+	r.expireAttempts(r.clock)
+	if len(w.attempts) != 0 {
+		t.Error("not lost after every lease has expired")
+	}
+}
+
+// Guards against attempts that are taken for lost because another process answers at an address that their worker had.
+func TestRefusalAtFormerAddressLosesNothing(t *testing.T) {
+	for _, command := range []string{"start", "stop"} {
+		t.Run(command, func(t *testing.T) {
+			r := newRig(t, memory.New())
+			w := r.addWorker("w", 1000)
+			r.submit("a", oneStep(2, 100))
+			r.scheduleAndCommit()
+			former := r.target(w)
+			former.Addr = "former:1"
+			refused := &workers.RefusedError{Worker: w.id(), Reason: workers.ReasonIncarnation}
+			for _, a := range w.attempts {
+				if command == "stop" {
+					r.handleStop(a, former, r.clock, refused)
+					break
+				}
+				a.phase, a.startsSent, a.startsPending = phaseSent, 2, 1
+				r.handleStart(a, former, r.clock, 0, refused)
+				break
+			}
+			if len(w.attempts) != 2 || !w.registered {
+				t.Errorf("%d attempts, registered %v", len(w.attempts), w.registered)
+			}
+		})
+	}
+}
--- a/execution/model.go
+++ b/execution/model.go
@@ -79,9 +79,10 @@
 // ruledOutBy reports whether the response to a poll that does not list the attempt proves that it is not running and will
 // not start. That it is not listed does not prove it: a start command without a response may be carried out after newer
 // calls. The worker refuses it from then on if the poll had a higher fencing token than the command, or if the worker
-// had confirmed the attempt, or a stop command for it, before the poll was sent.
+// had confirmed the attempt, or a stop command for it, before the poll was sent. Neither holds for a later incarnation of
+// the worker, which a start command that is still open may reach.
 func (a *taskAttempt) ruledOutBy(request workers.PollRequest, polledAt time.Duration) bool {
-	if a.phase == phaseRecording {
+	if a.phase == phaseRecording || a.startsPending > 0 {
 		return false
 	}
 	return request.FencingToken > a.token || (a.confirmedAt > 0 && a.confirmedAt < polledAt)
@@ -218,8 +219,10 @@
 	drainingSince time.Duration
 	leavesAt      time.Duration
 
-	// startTime is the start time of the incarnation that answered last; 0 if unknown.
-	startTime int64
+	// startTime is the start time of the incarnation that answered last, 0 if unknown; since answeredFrom the leader knows
+	// of it.
+	startTime    int64
+	answeredFrom time.Duration
 	// incarnation grows whenever a new incarnation of the worker may have started. It is part of the fencing token, so
 	// that commands for an earlier incarnation have no effect on a later one under the same name.
 	incarnation uint64
@@ -228,6 +231,8 @@
 	// clock is the clock of the worker, in milliseconds, as read at clockAt.
 	clock   int64
 	clockAt time.Duration
+	// startSentAt is when the latest start command was sent.
+	startSentAt time.Duration
 	// fenced is set once the worker has accepted this term's fencing token and so refuses commands of earlier terms.
 	fenced bool
 
@@ -287,6 +292,12 @@
 	w.clock, w.clockAt = clock, now
 }
 
+// mayPredate reports whether the response to a command that was sent at sentAt may be of an earlier incarnation of the worker
+// than the one that answered last, or of another process at an address that the worker had.
+func (w *worker) mayPredate(sentTo workers.Target, sentAt time.Duration) bool {
+	return sentAt < w.answeredFrom || sentTo.Addr != w.node.Registration.Addr
+}
+
 // maxClockDriftFactor bounds by which factor a worker's clock may run slower than that of the leader, with a margin.
 const maxClockDriftFactor = 1.025
 
@@ -300,6 +311,16 @@
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
+// openCommandTime bounds how long a command may be under way, through a carrier or not, before it is given up.
+const openCommandTime = 1500 * time.Millisecond
+
+// noteForeignLeases notes that start commands with lease expiries by the clock of an earlier incarnation may have reached the
+// present one, whose clock is another: it may have granted leases up to the limit of workers.
+func (w *worker) noteForeignLeases(now, limit time.Duration) {
+	expiry := now + openCommandTime + time.Duration(float64(limit)*maxClockDriftFactor) + leaseExpiryMargin
+	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
+}
+
 // needsPolling reports whether the worker has to be polled.
 func (w *worker) needsPolling() bool {
 	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -100,8 +100,8 @@
 
 // pollRequest returns a poll of a worker without a poll wait: it is answered at once.
 func (t *Term) pollRequest(w *worker, now time.Duration) workers.PollRequest {
-	request := workers.PollRequest{Target: t.target(w), TimeoutMargin: t.lag.timeoutMargin()}
-	// After a failure another incarnation of the worker may answer. Termination sequence numbers restart with each
+	request := workers.PollRequest{Target: t.target(w), StartTime: w.startTime, TimeoutMargin: t.lag.timeoutMargin()}
+	// After a failure another incarnation of the worker is likely to answer. Termination sequence numbers restart with each
 	// incarnation, so nothing is acknowledged until one has answered.
 	if w.fenced && w.pollFailures == 0 {
 		request.AckUpTo = w.storedUpTo
@@ -165,6 +165,9 @@
 	if w.pendingPolls > 0 {
 		t.lostResponses.note(w.id(), now)
 	}
+	if w.isNewIncarnation(inventory.StartTime) && w.startSentAt >= w.polledAt {
+		w.noteForeignLeases(now, t.workerLeaseLimit())
+	}
 	w.polledAt = sentAt
 	if w.pollFailures > 0 {
 		t.log.Info().Str(logging.KeyWorker, string(w.id())).Int("failures", w.pollFailures).Msg("worker answers again")
@@ -179,7 +182,9 @@
 		t.opts.Invalid.Report(invalid.SourceWorker, string(w.id()), uint64(inventory.Unknown), invalid.New(invalid.KindUndecodable, "list of attempts"))
 	}
 	t.applyIncarnation(w, inventory.StartTime)
-	w.ackedUpTo = max(w.ackedUpTo, request.AckUpTo)
+	if inventory.StartTime == request.StartTime {
+		w.ackedUpTo = max(w.ackedUpTo, inventory.AckedUpTo)
+	}
 	for _, termination := range inventory.Terminations {
 		if termination.Number > w.appliedUpTo {
 			w.appliedUpTo = termination.Number
@@ -196,20 +201,29 @@
 	}
 }
 
+// isNewIncarnation reports whether a start time shows that another incarnation of the worker answers than before.
+func (w *worker) isNewIncarnation(startTime int64) bool {
+	return startTime != 0 && w.startTime != 0 && startTime != w.startTime
+}
+
+// workerLeaseLimit returns the longest attempt lease that a worker grants.
+func (t *Term) workerLeaseLimit() time.Duration {
+	return max(t.opts.WorkerLeaseLimit, t.opts.AttemptLeaseDuration)
+}
+
 // applyIncarnation notes which incarnation of the worker answered. Termination sequence numbers restart with each
 // incarnation.
 func (t *Term) applyIncarnation(w *worker, startTime int64) {
 	if startTime == 0 || startTime == w.startTime {
 		return
 	}
-	if w.startTime != 0 {
-		t.log.Warn().Str(logging.KeyWorker, string(w.id())).Int64("born", startTime).Msg("worker started again")
-	}
-	if w.startTime != 0 {
+	if w.isNewIncarnation(startTime) {
+		t.log.Warn().Str(logging.KeyWorker, string(w.id())).Int64("born", startTime).Int("attempts", len(w.attempts)).
+			Int64("acknowledged", w.ackedUpTo).Msg("worker started again")
 		w.incarnation++
 		w.fenced = false
 	}
-	w.startTime = startTime
+	w.startTime, w.answeredFrom = startTime, t.opts.Clock()
 	w.breaker, w.slow = breaker{}, false
 	w.appliedUpTo, w.storedUpTo, w.ackedUpTo, w.pendingAcks = 0, 0, 0, nil
 }
--- a/execution/rig_test.go
+++ b/execution/rig_test.go
@@ -19,6 +19,9 @@
 	"bronzehook/workers"
 )
 
+// testStartTime is the start time of the incarnation that answers for fakeWorkers.
+const testStartTime = 1
+
 // fakeWorkers is a workers.Client that records the calls and returns preset responses.
 type fakeWorkers struct {
 	mu        sync.Mutex
@@ -42,7 +45,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.polls = append(f.polls, request)
-	return workers.Inventory{Clock: f.clock, StartTime: 1}, f.err
+	inventory := workers.Inventory{Clock: f.clock, StartTime: testStartTime}
+	if request.StartTime == testStartTime {
+		inventory.AckedUpTo = request.AckUpTo
+	}
+	return inventory, f.err
 }
 
 func (f *fakeWorkers) Throttle(_ context.Context, _ workers.Target, task jobs.Task, _, percent int) error {
@@ -127,7 +134,7 @@
 	w.node.Registration = workers.Registration{
 		ID: workers.ID(id), Addr: id + ":1", Service: "s", Capacity: jobs.Resources{CPU: cpu, MemoryMB: 100_000},
 	}
-	w.registered, w.fenced, w.startTime = true, true, 1
+	w.registered, w.fenced, w.startTime = true, true, testStartTime
 	r.activate(w)
 	w.noteClock(1000, r.clock)
 	r.refreshNodes(r.clock)
--- a/execution/term.go
+++ b/execution/term.go
@@ -44,6 +44,9 @@
 	DetailSampler zerolog.Sampler
 	// AttemptLeaseDuration is how long a worker keeps running attempts without contact to the leader.
 	AttemptLeaseDuration time.Duration
+	// WorkerLeaseLimit is the longest lease that a worker grants; a longer one is shortened to it. 0 means
+	// AttemptLeaseDuration.
+	WorkerLeaseLimit time.Duration
 	// RemoteDataFactor is how many times as long a task takes when its data is not local; 0 if unknown.
 	RemoteDataFactor float64
 	// Retention is the minimum time for which the public state of an ended job can be read.
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -103,6 +103,8 @@
 	Terminations []Termination
 	// Unknown is the number of entries that could not be parsed.
 	Unknown int
+	// AckedUpTo is the acknowledgement that the poll carried: that of the request, or 0.
+	AckedUpTo int64
 }
 
 // ListsAllTerminations reports whether the inventory certainly contains all terminations that are not acknowledged. If it
@@ -127,6 +129,8 @@
 // PollRequest requests an inventory and renews the attempt leases.
 type PollRequest struct {
 	Target
+	// StartTime is the start time of the incarnation that LeaseExpiry and AckUpTo are for; 0 if unknown.
+	StartTime int64
 	// LeaseExpiry is the new expiry of the attempt leases on the worker's clock, in ms; 0 renews none.
 	LeaseExpiry int64
 	// AckUpTo acknowledges the terminations up to this sequence number, so that the worker can discard them.
@@ -143,6 +147,8 @@
 	// Start returns the worker's clock.
 	Start(ctx context.Context, command Start) (int64, error)
 	Stop(ctx context.Context, target Target, task jobs.Task, attempt int) error
+	// Poll leaves out LeaseExpiry and AckUpTo wherever the call may reach another incarnation than that of the request,
+	// which may have the same ID and address. Inventory.AckedUpTo says which acknowledgement was sent.
 	Poll(ctx context.Context, request PollRequest) (Inventory, error)
 	// Throttle limits a best-effort task to a percentage of its CPU share.
 	Throttle(ctx context.Context, target Target, task jobs.Task, attempt, percent int) error
