Tell operators that a revision is in force once requests are routed by it

Cause: an instance reported the revision that its configuration service had activated; the routing view followed by its own timer, up to a second later.

Change: an instance reports the revision of its routing view, to operators and to other instances, and rebuilds the view as soon as a revision is active.

TestAcceptanceTimeAndTableRate, TestViewInputsDiffer and TestRestartKeepsRevision passed.

--- a/cmd/bronzehook/dev.go
+++ b/cmd/bronzehook/dev.go
@@ -45,6 +45,6 @@
 
 Try next:
   go run ./cmd/bronzehookctl apply --operator-url http://%s --wait examples/first
-  curl -i http://%s/shop/hello
+  curl -i --fail --retry 5 http://%s/shop/hello
 `, callerAddr, operatorAddr, platformURL, devWorkers, operatorAddr, callerAddr)
 }
--- a/config/rollout/service.go
+++ b/config/rollout/service.go
@@ -85,6 +85,9 @@
 	Logger    zerolog.Logger
 	// Regions returns the known regions. Changes with workloads in other regions are not recorded.
 	Regions func() []string
+	// Served returns the revision by which this instance serves requests, which may be older than the active one for a moment;
+	// nil means the active one.
+	Served func() uint64
 	// Requires names the services that have to be started before this one.
 	Requires []string
 
@@ -261,9 +264,9 @@
 	return Bundle{Revision: current.Revision, Digest: current.Digest, Author: current.Author, Files: current.Files(), HighestKnown: known}, nil
 }
 
-// Statuses returns the active revision of each instance, including this one, sorted by instance ID.
+// Statuses returns the revision by which each instance serves requests, including this one, sorted by instance ID.
 func (s *Service) Statuses() []InstanceStatus {
-	own := InstanceStatus{ID: s.options.Self, Revision: s.Snapshot().Revision}
+	own := InstanceStatus{ID: s.options.Self, Revision: s.served()}
 	all := []InstanceStatus{}
 	if s.options.Instances != nil {
 		all = append(all, s.options.Instances.Instances()...)
@@ -278,8 +281,15 @@
 	return all
 }
 
-// Accepted reports whether every instance with a valid instance lease has activated the revision or a later one. It also
-// returns the instances that have not.
+func (s *Service) served() uint64 {
+	if s.options.Served == nil {
+		return s.Snapshot().Revision
+	}
+	return s.options.Served()
+}
+
+// Accepted reports whether every instance with a valid instance lease serves requests by the revision or a later one. It
+// also returns the instances that do not.
 func (s *Service) Accepted(revision uint64) (bool, []InstanceStatus) {
 	var waiting []InstanceStatus
 	for _, instance := range s.Statuses() {
--- a/instance/change_test.go
+++ b/instance/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,24 @@
 	f.checkInvariants()
 }
 
+// Guards against an operator who is told that a change is in force, and whose next request gets 404 because the instance
+// does not route by it yet.
+func TestAcceptedServiceIsRouted(t *testing.T) {
+	f := newFleet(t)
+	f.startWorkloads()
+	for number := range 6 {
+		service := fmt.Sprintf("new-%d", number)
+		content := "kind: service\nname: " + service + "\nurgency: high\nreplicas: 1\ncommand: [serve, 2ms]\nteam: web\ncpu: 100m\nmemory: 64MiB\n"
+		revision := f.apply(f.instances[montego], map[string]string{"70-" + service + ".yaml": content})
+		f.eventually(acceptanceTimeout, "the change is accepted", func() bool { return f.accepted(f.instances[montego], revision) })
+		for _, n := range f.instances {
+			if r := f.get(n, service); r.status == http.StatusNotFound {
+				t.Errorf("%s does not route %s although revision %d is accepted", n.self.ID, service, revision)
+			}
+		}
+	}
+}
+
 // propagationTimeout is the time after the recording of a revision within which the other instances know that it
 // exists, so that a crash of the recording instance takes no instance back to an earlier revision.
 const propagationTimeout = 250 * time.Millisecond
--- a/instance/inputs.go
+++ b/instance/inputs.go
@@ -16,13 +16,15 @@
 	workers []api.Worker
 	drained map[api.WorkerID]bool
 	work    *api.WorkSet
+	// revision is that of work. A view does not depend on it otherwise.
+	revision uint64
 }
 
 func (v *viewService) inputs() viewInputs {
-	members := v.members.View()
+	members, configuration := v.members.View(), v.rollout.Snapshot()
 	return viewInputs{
 		members: members, workers: v.leavingWorkers.markLeaving(members.Workers), drained: v.drains.Workers(),
-		work: &v.rollout.Snapshot().Workloads,
+		work: &configuration.Workloads, revision: configuration.Revision,
 	}
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -114,12 +114,16 @@
 	callers        *httpService
 	operators      *operator.Server
 
-	// stopAnnouncements cancels the subscription of announceRevisions.
-	stopAnnouncements context.CancelFunc
+	// stopFollowingRevisions cancels the subscription of serveNewRevisions.
+	stopFollowingRevisions context.CancelFunc
+	view                   *viewService
 
 	// viewStale is set when the routing view has to be rebuilt.
 	viewStale atomic.Bool
-	stopping  atomic.Bool
+	// servedRevision is the revision of the routing view, by which requests are served. It follows the active revision of
+	// rollout within viewCheckInterval. Other instances and operators are told this one.
+	servedRevision atomic.Uint64
+	stopping       atomic.Bool
 }
 
 // New assembles an instance without starting it.
@@ -139,12 +143,13 @@
 	i.buildCluster()
 	i.buildConfiguration()
 	i.buildTaskAndRequestServices()
+	i.view = &viewService{Instance: i}
 	i.buildCallerServer()
 	i.buildOperatorServer()
 	i.registerMessages()
 	i.registerMetrics()
 	i.kernel.Register(i.loop, i.transport, i.members, i.owners, i.rollout, i.drains, i.trail, i.events, i.runner, i.coordinator,
-		i.callers, i.operators, &viewService{Instance: i})
+		i.callers, i.operators, i.view)
 	return i
 }
 
@@ -159,7 +164,7 @@
 	i.members = membership.New(membership.Config{
 		Self: o.Self, Rule: authority.Rule{LeaseDuration: o.InstanceLeaseDuration}, Clock: o.Clock, Table: i.store, Directory: o.Directory,
 		Messenger: i.transport, Log: i.log,
-		Revision:        func() uint64 { return i.rollout.Snapshot().Revision },
+		Revision:        i.servedRevision.Load,
 		EndpointVersion: func() uint64 { return i.endpoints.localSet().Version },
 		OnRevision: func(from api.Instance, revision uint64) {
 			if !i.members.Expired(from.ID) {
@@ -179,7 +184,7 @@
 	i.rollout = rollout.New(rollout.Options{
 		Self: o.Self.ID, Table: i.store, Peers: bundleSource{i}, Instances: instanceStatuses{i}, Bus: i.kernel.Bus(),
 		Clock: o.Clock, Logger: i.log, Regions: func() []string { return o.Regions },
-		Requires: []string{membership.ServiceName},
+		Served: i.servedRevision.Load, Requires: []string{membership.ServiceName},
 	})
 	i.drains = drain.New(drain.Options{Table: i.store, Clock: o.Clock, Logger: i.log, NewOpID: rollout.NewOpID})
 	i.trail = audit.New(audit.Options{
@@ -249,20 +254,23 @@
 
 // Start starts all services. It does not wait for the platform, which may be unavailable.
 func (i *Instance) Start(ctx context.Context) error {
-	if err := i.announceRevisions(); err != nil {
+	if err := i.serveNewRevisions(); err != nil {
 		return err
 	}
 	return i.kernel.Start(ctx)
 }
 
-// announceRevisions announces each revision to the other instances as soon as it is active here. Otherwise only this
-// instance would know a recorded revision until the next heartbeat, and the fleet would lose the revision if the
-// instance crashed before that while the table is unavailable.
-func (i *Instance) announceRevisions() error {
+// serveNewRevisions makes the routing view follow each revision as soon as it is active here. The view service announces it
+// to the other instances then. Otherwise only this instance would know a recorded revision until the next heartbeat, and
+// the fleet would lose the revision if the instance crashed before that while the table is unavailable.
+func (i *Instance) serveNewRevisions() error {
 	ctx, cancel := context.WithCancel(context.Background())
-	i.stopAnnouncements = cancel
-	announce := func(rollout.Activation) { i.members.Announce() }
-	return kernel.Subscribe(ctx, i.kernel.Bus(), rollout.TopicActivation, announce)
+	i.stopFollowingRevisions = cancel
+	follow := func(rollout.Activation) {
+		i.viewStale.Store(true)
+		i.loop.Post(i.view.refresh)
+	}
+	return kernel.Subscribe(ctx, i.kernel.Bus(), rollout.TopicActivation, follow)
 }
 
 // CallerAddr returns the address of the server for callers.
@@ -288,7 +296,7 @@
 	err := i.gateway.Stop(ctx)
 	err = errors.CombineErrors(err, i.owners.HandOver(ctx))
 	err = errors.CombineErrors(err, i.kernel.Stop(ctx))
-	i.stopAnnouncements()
+	i.stopFollowingRevisions()
 	i.deduplicator.Close()
 	i.log.Info().Msg("stop done")
 	return err
--- a/instance/view.go
+++ b/instance/view.go
@@ -25,8 +25,12 @@
 // readiness. It runs on the event loop.
 type viewService struct {
 	*Instance
-	// lastInputs is what the last view was built from, except the endpoints.
+	fetcher *ownerFetcher
+	// started is set once the services that a view is built from have been started.
+	started bool
+	// lastInputs is what the last view was built from, except the endpoints; comparedAt is when it was last compared.
 	lastInputs viewInputs
+	comparedAt time.Time
 }
 
 // Name implements kernel.Service.
@@ -40,30 +44,42 @@
 // Start builds the first view and refreshes it periodically.
 func (v *viewService) Start(ctx context.Context) error {
 	v.viewStale.Store(true)
-	comparedAt := time.Time{}
-	fetcher := &ownerFetcher{Instance: v.Instance}
-	refresh := func() {
-		fetcher.refresh()
-		v.gate.refresh()
-		now := v.options.Clock.Now()
-		stale := v.viewStale.Swap(false)
-		if !stale && now.Sub(comparedAt) < viewCompareInterval {
-			return
-		}
-		comparedAt = now
-		v.notifyRackOwners(v.members.View().Workers)
-		if inputs := v.inputs(); stale || !inputs.equal(&v.lastInputs) {
-			v.build(inputs)
-			v.lastInputs = inputs
-		}
+	v.fetcher = &ownerFetcher{Instance: v.Instance}
+	begin := func() {
+		v.started = true
+		v.refresh()
 	}
-	if err := v.loop.Do(ctx, refresh); err != nil {
+	if err := v.loop.Do(ctx, begin); err != nil {
 		return err
 	}
-	v.loop.Every(viewCheckInterval, refresh)
+	v.loop.Every(viewCheckInterval, v.refresh)
 	return nil
 }
 
+// refresh rebuilds the view if what it is built from has changed.
+func (v *viewService) refresh() {
+	if !v.started {
+		return
+	}
+	v.fetcher.refresh()
+	v.gate.refresh()
+	now := v.options.Clock.Now()
+	stale := v.viewStale.Swap(false)
+	if !stale && now.Sub(v.comparedAt) < viewCompareInterval {
+		return
+	}
+	v.comparedAt = now
+	v.notifyRackOwners(v.members.View().Workers)
+	inputs := v.inputs()
+	if stale || !inputs.equal(&v.lastInputs) {
+		v.build(inputs)
+		v.lastInputs = inputs
+	}
+	if v.servedRevision.Swap(inputs.revision) != inputs.revision {
+		v.members.Announce()
+	}
+}
+
 // Stop implements kernel.Service. The refreshes end with the event loop.
 func (v *viewService) Stop(context.Context) error { return nil }
 
