Do not take a recorded attempt for a start

Cause: a new term took every job with a progress record for started, but the record is stored before the start command is sent.

Change: a done task, a failure, a checkpoint, a stored state "running" or a worker's report shows a start.

Ruled out: counts that are too old, a pending row deleted by the first leader.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -97,6 +97,9 @@
 	}
 	key := attemptKey{termination.Task, termination.Attempt}
 	delete(w.orphans, key)
+	if !j.started {
+		t.markStarted(j)
+	}
 	var ran time.Duration
 	if a := w.attempts[key]; a != nil {
 		if a.startedAt > 0 {
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -382,7 +382,7 @@
 	case state == jobs.StateCancelled:
 		t.cancel(j)
 	case state == jobs.StateRunning && j.state == jobs.StateQueued:
-		j.state = state
+		j.state, j.started = state, true
 	case state.Terminal():
 		t.log.Warn().Str(logging.KeyRequest, string(j.spec.ID)).Str("state", string(state)).Msg("job has ended already according to its stored state")
 		j.state = state
--- a/execution/load.go
+++ b/execution/load.go
@@ -161,7 +161,8 @@
 	o := t.openOccurrence(j, record.Occurrence)
 	task := o.steps[record.Step][record.Index]
 	task.failures, task.attempt, task.lastEnded, task.checkpoint = record.Failures, record.Attempt, record.Ended, record.Checkpoint
-	j.started = true
+	// An attempt is recorded before its start command is sent, so that a recorded attempt alone shows no start.
+	j.started = j.started || record.Done || record.Failures > 0 || record.Checkpoint != ""
 	if record.Done {
 		task.done = true
 		o.remaining[record.Step]--
