Bound how long headroom and nearness keep a batch task waiting

Cause: headroom for the peak of urgent work and the wait for a worker near the data had no bound in time for batch tasks; the peak decays by 4% a second and each burst renews it.

Change: a batch task whose job has nothing running gets what is free after 2 s, if less than 0.55 of its service is reserved and there is free capacity for two such tasks. One task of a job at a time; while more is reserved, headroom is kept as before, so that urgent work does not pay on a busy fleet.

--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -112,6 +112,8 @@
 	case task.step.LongRunning:
 		// The bound lets a worker with free capacity for two such tasks always accept one.
 		return min(t.perWorker(t.batchDemand.missing()), max(0, task.step.Resources.CPU-1))
+	case task.job.queue.Priority > 0 && t.starved(task, now):
+		return 0
 	case task.job.queue.Priority > 0:
 		return t.perWorker(t.topPriorityDemand.missing())
 	}
@@ -147,6 +149,20 @@
 	return found >= 2
 }
 
+// starved reports whether a batch task gets what is free even if that is headroom, or far from its data: its job has nothing
+// running and has waited for maxHeadroomWait although the service is mostly unused and has free capacity for two such
+// tasks. Headroom for work that may come and a worker near the data are preferences, which must not keep a task for ever
+// from the capacity that is there. It applies to one task of a job at a time.
+func (t *Term) starved(task *task, now time.Duration) bool {
+	return task.job.liveAttempts == 0 && now-task.readyAt > maxHeadroomWait && t.mostlyUnreserved(task.job) && t.canPlaceTwo(task.step)
+}
+
+// mostlyUnreserved reports whether less than idleReservedShare of the CPU capacity of a job's service is reserved.
+func (t *Term) mostlyUnreserved(j *job) bool {
+	p := t.pools[j.queue.Service]
+	return p != nil && p.capacity > 0 && float64(p.capacity-p.free) < idleReservedShare*float64(p.capacity)
+}
+
 // A job of best-effort tasks that has nothing running gets one task (or one gang) after bestEffortStarvedAfter, while
 // less than idleReservedShare of its service's CPU is reserved. Best-effort tasks use the CPU that other tasks leave
 // unused, so without this rule the job would have to wait for best-effort tasks of other jobs to end.
@@ -161,6 +177,5 @@
 	if !task.step.BestEffort || j.liveAttempts > 0 || t.scheduledAt-task.readyAt < bestEffortStarvedAfter {
 		return false
 	}
-	p := t.pools[j.queue.Service]
-	return p != nil && p.capacity > 0 && float64(p.capacity-p.free) < idleReservedShare*float64(p.capacity)
+	return t.mostlyUnreserved(j)
 }
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -210,7 +210,7 @@
 		request.RackInUse = rackOf(siblings)
 	}
 	request.AllowStarved = t.bestEffortStarved(j, task)
-	request.LocalOnly = task.step.Affinity != "" && t.scheduledAt-task.readyAt < t.localityWait(task.step)
+	request.LocalOnly = task.step.Affinity != "" && t.scheduledAt-task.readyAt < t.localityWait(task.step) && !t.starved(task, t.scheduledAt)
 	return request
 }
 
--- a/execution/waiting_test.go
+++ b/execution/waiting_test.go
@@ -166,3 +166,84 @@
 		t.Errorf("%d starts", n)
 	}
 }
+
+// Guards against a large batch task that waits on an empty fleet for as long as the headroom for a past burst of urgent work
+// lasts, and for ever if bursts recur; and against low-priority work that takes the headroom at once, as a whole, or while
+// the service is in use.
+func TestBatchTaskUsesHeadroomOfUnusedService(t *testing.T) {
+	const burst = 8000
+	newBurstRig := func(t *testing.T) (*rig, *job) {
+		r := newRig(t, memory.New())
+		provider := &manifest.Provider{}
+		provider.Update((&manifest.Manifest{Version: 1, Queues: []manifest.Queue{
+			{Name: testQueue, Service: "s", MaxAttempts: 2, Stretch: 2, LatencyTarget: time.Second, Priority: 2},
+		}}).Index())
+		r.opts.Manifest = provider
+		for i := range 4 {
+			r.addWorker(string(rune('v'+i)), 1000)
+		}
+		r.topPriorityDemand.observe(0, burst, r.clock)
+		return r, r.submit("a", oneStep(2, 900))
+	}
+	schedule := func(r *rig) {
+		r.refreshNodes(r.clock)
+		r.scheduleAndCommit()
+	}
+	t.Run("unused service", func(t *testing.T) {
+		r, j := newBurstRig(t)
+		schedule(r)
+		r.advanceClock(maxHeadroomWait - time.Millisecond)
+		schedule(r)
+		if j.liveAttempts != 0 {
+			t.Fatal("headroom was not kept")
+		}
+		r.advanceClock(2 * time.Millisecond)
+		schedule(r)
+		if j.liveAttempts != 1 {
+			t.Errorf("%d attempts of a job that had nothing running on an empty fleet, want 1", j.liveAttempts)
+		}
+	})
+	t.Run("service in use", func(t *testing.T) {
+		for name, c := range map[string]struct {
+			reserved, want int
+		}{
+			"less than half": {400, 1},
+			"more than half": {580, 0},
+		} {
+			r, _ := newBurstRig(t)
+			j := r.submit("b", oneStep(1, 400))
+			for _, w := range r.workers {
+				other := oneStep(1, c.reserved)
+				w.node.Reserve(&other)
+			}
+			schedule(r)
+			r.advanceClock(2 * maxHeadroomWait)
+			schedule(r)
+			if j.liveAttempts != c.want {
+				t.Errorf("%s reserved: %d attempts, want %d", name, j.liveAttempts, c.want)
+			}
+		}
+	})
+}
+
+// Guards against a long task that waits for most of its run time for a rack that has no worker left, on an empty fleet.
+func TestTaskWithoutLocalWorkerRunsOnUnusedService(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.opts.RemoteDataFactor = 3
+	for _, id := range []string{"v", "w", "x"} {
+		r.addWorker(id, 1000).node.Registration.Labels = []string{"rack-2"}
+	}
+	step := oneStep(1, 900)
+	step.Affinity, step.Estimate = "rack-1", time.Minute
+	j := r.submit("a", step)
+	r.scheduleAndCommit()
+	if j.liveAttempts != 0 {
+		t.Fatal("the task did not wait for its rack")
+	}
+	r.advanceClock(maxHeadroomWait + time.Millisecond)
+	r.refreshNodes(r.clock)
+	r.scheduleAndCommit()
+	if j.liveAttempts != 1 {
+		t.Error("the task waits for a rack without workers beside free capacity")
+	}
+}
