Store the advice of a queue with its jobs

Cause: the policy that is stored with a job left out the advice of its queue.

Change: it has the advice now. A test goes over all fields of a queue by reflection: each has to be stored or to be named as one that concerns requests only. Older builds skip the field; jobs that they accepted have none, as before.

--- a/jobs/spec.go
+++ b/jobs/spec.go
@@ -124,6 +124,13 @@
 	Stretch     float64 `cbor:"4,keyasint,omitempty"`
 	// LatencyTarget is added to Stretch times the critical path to give the objective for the duration of a job.
 	LatencyTarget time.Duration `cbor:"5,keyasint,omitempty"`
+	// Advice is nil if every worker may run the steps of the queue's jobs.
+	Advice *AdvicePolicy `cbor:"6,keyasint,omitempty"`
+}
+
+// AdvicePolicy is the part of the configuration of a queue with advice that is stored with a job.
+type AdvicePolicy struct {
+	Valid time.Duration `cbor:"1,keyasint"`
 }
 
 // Occurrences returns the number of times that the steps run.
--- a/manifest/manifest.go
+++ b/manifest/manifest.go
@@ -27,19 +27,27 @@
 	Advice *Advice
 }
 
-// Policy returns the settings of the queue that are stored with its jobs.
+// Policy returns the settings of the queue that are stored with its jobs: all that decisions on a job depend on.
 func (q *Queue) Policy() jobs.QueuePolicy {
-	return jobs.QueuePolicy{
+	policy := jobs.QueuePolicy{
 		Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, LatencyTarget: q.LatencyTarget,
 	}
+	if q.Advice != nil {
+		policy.Advice = &jobs.AdvicePolicy{Valid: q.Advice.Valid}
+	}
+	return policy
 }
 
 // QueueFromPolicy returns a queue that the manifest no longer has, from the policy that is stored with a job.
 func QueueFromPolicy(name string, policy jobs.QueuePolicy) *Queue {
-	return &Queue{
+	q := &Queue{
 		Name: name, Service: policy.Service, Priority: policy.Priority, MaxAttempts: policy.MaxAttempts,
 		Stretch: policy.Stretch, LatencyTarget: policy.LatencyTarget,
 	}
+	if policy.Advice != nil {
+		q.Advice = &Advice{Valid: policy.Advice.Valid}
+	}
+	return q
 }
 
 // Advice describes the advice service of a queue, which decides which workers may run a step.
--- a/manifest/manifest_test.go
+++ b/manifest/manifest_test.go
@@ -1,8 +1,11 @@
 package manifest_test
 
 import (
+	"reflect"
 	"testing"
+	"time"
 
+	"bronzehook/jobs"
 	"bronzehook/manifest"
 )
 
@@ -52,3 +55,28 @@
 		t.Error("an older or equal version replaced the current one")
 	}
 }
+
+// Guards against a setting of a queue that is lost when the queue is removed and another instance becomes the leader: its
+// jobs then run under other rules, or not at all. Every field has to be stored with a job or to concern requests only.
+func TestPolicyKeepsWhatDecisionsDependOn(t *testing.T) {
+	requestsOnly := map[string]bool{"Host": true, "Prefix": true, "Timeout": true}
+	full := manifest.Queue{
+		Name: "q", Host: "h", Prefix: "/p/", Service: "s", Priority: 2, MaxAttempts: 3, Stretch: 1.5, LatencyTarget: time.Second,
+		Timeout: time.Minute, Advice: &manifest.Advice{Valid: 4 * time.Second},
+	}
+	decoded, err := jobs.Decode[jobs.Spec]("spec", jobs.Encode(&jobs.Spec{Queue: full.Name, QueuePolicy: full.Policy()}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := manifest.QueueFromPolicy(decoded.Queue, decoded.QueuePolicy)
+	want, got := reflect.ValueOf(full), reflect.ValueOf(*restored)
+	for i := range want.NumField() {
+		name := want.Type().Field(i).Name
+		if want.Field(i).IsZero() {
+			t.Errorf("%s has no value in this test", name)
+		}
+		if !requestsOnly[name] && !reflect.DeepEqual(want.Field(i).Interface(), got.Field(i).Interface()) {
+			t.Errorf("%s is %v after the queue was removed, was %v", name, got.Field(i), want.Field(i))
+		}
+	}
+}
