Record the commands of a maintenance wave before they are sent

Cause: only the leader that had sent a command knew that it was unconfirmed. The fencing token of the next leader counts for each machine separately and keeps the late command away only once that leader has commanded the machine.

Change: one row for each wave names the machines that may have been commanded and those that are done. It is written under a condition before a command is sent. The next leader counts recorded machines as down, commands them first, and does not ask again about machines that are done. The row is deleted with the end of the wave. Ruled out: a longer wait between the commands of two leaders; how late a command may be has no bound.

--- a/execution/maintenance.go
+++ b/execution/maintenance.go
@@ -37,9 +37,17 @@
 	// listing is set while a listing of the machines is in flight; nextListAt is when the next one is due.
 	listing    bool
 	nextListAt time.Duration
-	// commandPending holds the machines with a maintenance command in flight, retryAt when a command may be repeated.
+	// commandPending holds the machines with a maintenance command that is in flight or waits for its record, retryAt when a
+	// command may be repeated.
 	commandPending map[string]bool
 	retryAt        map[string]time.Duration
+	// recorded holds the machines that the stored record names as sent, recordVersion is that of the record. recording is set
+	// while it is written.
+	recorded      map[string]bool
+	recordVersion uint64
+	recording     bool
+	// confirmed holds the machines of which the service has said that their maintenance has begun.
+	confirmed map[string]bool
 }
 
 // advanceWaves advances the waves that the operator has requested.
@@ -54,6 +62,7 @@
 		if w == nil {
 			w = &wave{
 				Progress: maintenance.NewProgress(seen), commandPending: make(map[string]bool), retryAt: make(map[string]time.Duration),
+				recorded: make(map[string]bool), confirmed: make(map[string]bool),
 			}
 			t.waves[seen.Number] = w
 			t.log.Info().Int("wave", seen.Number).Int("machines", len(seen.Machines)).Int("cap", seen.MaxDown).
@@ -115,13 +124,18 @@
 		t.log.Info().Int("wave", w.Number).Str("machine", machine).Int("attempts", attemptCount(byMachine[machine])).
 			Dur("patience", w.GracePeriod(now)).Int("down", w.Down()).Msg("machine is being emptied")
 	}
+	var ready []command
 	for machine, since := range w.Draining {
 		if !w.Reachable(machine) {
 			t.uncordon(w, machine)
 			continue
 		}
-		t.drainMachine(w, machine, byMachine[machine], now-since >= w.GracePeriod(now), now)
+		t.drainMachine(byMachine[machine], now-since >= w.GracePeriod(now))
+		if t.mayCommand(w, machine, byMachine[machine], now) {
+			ready = append(ready, w.prepareCommand(machine))
+		}
 	}
+	t.sendRecorded(w, ready, now)
 }
 
 // uncordon ends the draining of a machine whose maintenance has begun, is not needed any more, or cannot begin now. Its
@@ -154,9 +168,8 @@
 	return count
 }
 
-// drainMachine moves work off a machine: long-running tasks at once, others when the grace period is over. It sends the
-// maintenance command once no attempt can be running there.
-func (t *Term) drainMachine(w *wave, machine string, onMachine []*worker, graceOver bool, now time.Duration) {
+// drainMachine moves work off a machine: long-running tasks at once, others when the grace period is over.
+func (t *Term) drainMachine(onMachine []*worker, graceOver bool) {
 	for _, from := range onMachine {
 		for _, a := range from.attempts {
 			if !a.stopping && (a.task.step.LongRunning || graceOver) && t.allowsDisruption(a) {
@@ -164,10 +177,13 @@
 			}
 		}
 	}
+}
+
+// mayCommand reports whether the maintenance command for a machine may be sent: no attempt can be running there, and the
+// wave's bound allows it.
+func (t *Term) mayCommand(w *wave, machine string, onMachine []*worker, now time.Duration) bool {
 	ready := attemptCount(onMachine) == 0 && !w.commandPending[machine] && now >= w.retryAt[machine]
-	if ready && now >= t.startedAt+t.opts.MachineHandoverDelay+handoverMargin && w.MayBegin(machine) {
-		t.sendMaintenance(w, machine, now)
-	}
+	return ready && now >= t.startedAt+t.opts.MachineHandoverDelay+handoverMargin && w.MayBegin(machine)
 }
 
 // allowsDisruption reports whether an attempt may be stopped for maintenance: fewer other tasks of its step are
@@ -191,18 +207,16 @@
 	return t.current != nil && t.current.phase == phaseRunning && !t.current.stopping && t.current.progress >= fullProgress
 }
 
-// sendMaintenance sends the maintenance command for a drained machine.
-func (t *Term) sendMaintenance(w *wave, machine string, now time.Duration) {
-	w.commandPending[machine] = true
-	wasUnconfirmed := w.Unconfirmed[machine]
-	w.SentAt[machine], w.Unconfirmed[machine] = now, true
-	command := maintenance.Order{Machine: machine, Wave: w.Number, Leader: t.leader.Name(), Epoch: t.leader.Epoch()}
+// sendMaintenance sends a maintenance command that is recorded.
+func (t *Term) sendMaintenance(w *wave, c command, now time.Duration) {
+	w.SentAt[c.machine] = now
+	order := maintenance.Order{Machine: c.machine, Wave: w.Number, Leader: t.leader.Name(), Epoch: t.leader.Epoch()}
 	t.spawn("maintenance command", func() {
-		err := errors.WithStack(error(&maintenance.RefusedError{Machine: machine, Reason: maintenance.ReasonBusy}))
+		err := errors.WithStack(error(&maintenance.RefusedError{Machine: c.machine, Reason: maintenance.ReasonBusy}))
 		if t.leader.Valid() {
-			err = t.opts.Machines.Begin(t.ctx, command)
+			err = t.opts.Machines.Begin(t.ctx, order)
 		}
-		t.post(func() { t.handleMaintenance(w, machine, wasUnconfirmed, err) })
+		t.post(func() { t.handleMaintenance(w, c.machine, c.wasUnconfirmed, err) })
 	})
 }
 
@@ -219,7 +233,7 @@
 	var refused *maintenance.RefusedError
 	switch {
 	case err == nil:
-		w.SentAt[machine] = now
+		w.SentAt[machine], w.confirmed[machine] = now, true
 		t.finishMachine(w, machine)
 	case !errors.As(err, &refused):
 		w.retryAt[machine] = now + maintenanceRetryDelay
@@ -271,7 +285,7 @@
 	})
 }
 
-// readWave reads the stored status of a wave.
+// readWave reads the stored status of a wave, and which commands earlier leaders have sent for it.
 func (t *Term) readWave(w *wave) {
 	if w.reading {
 		return
@@ -279,16 +293,23 @@
 	w.reading = true
 	finished := t.opts.WaveStatus(w.Number, true)
 	t.spawn("wave read", func() {
-		rows, err := store.ReadRow(t.ctx, t.opts.Table, finished.Key)
+		status, err := store.ReadRow(t.ctx, t.opts.Table, finished.Key)
+		var commands store.Changes
+		if err == nil {
+			commands, err = store.ReadRow(t.ctx, t.opts.Table, store.MaintenanceKey(w.Number))
+		}
 		t.post(func() {
 			w.reading = false
 			if err != nil {
 				return
 			}
 			w.read = true
-			for _, row := range rows.Rows {
+			for _, row := range status.Rows {
 				t.applyWaveStatus(w, row)
 			}
+			for _, row := range commands.Rows {
+				t.applyCommandRecord(w, row)
+			}
 		})
 	})
 }
@@ -321,6 +342,9 @@
 				t.log.Warn().AnErr("error", err).Int("wave", w.Number).Msg("state of the wave not stored")
 			default:
 				w.version, w.statusStored, w.done = version, true, finished
+				if finished {
+					t.deleteCommandRecord(w)
+				}
 				t.log.Info().Int("wave", w.Number).Bool("finished", finished).Uint64(logging.KeyRevision, t.revision()).
 					Msg("state of the wave stored")
 			}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -99,6 +99,17 @@
 	Pending map[string]int
 }
 
+// MaintenanceCommands is what is stored of the commands of a maintenance wave, so that the next leader knows which machines may
+// go down because of them.
+type MaintenanceCommands struct {
+	_ struct{} `cbor:",toarray"`
+	// Sent holds the machines for which a command may have been sent and has not been confirmed. It is stored before the
+	// command is sent.
+	Sent []string
+	// Begun holds the machines whose maintenance has begun.
+	Begun []string
+}
+
 // InterferenceState is the part of the interference model that is saved for the next leadership term.
 type InterferenceState struct {
 	_ struct{} `cbor:",toarray"`
@@ -131,7 +142,7 @@
 func (e *CorruptRecordError) Code() fault.Code { return fault.CodeInternal }
 
 // Encode returns the stored form of a value.
-func Encode[T Spec | Record | PublicState | Counts | InterferenceState](value *T) []byte {
+func Encode[T Spec | Record | PublicState | Counts | InterferenceState | MaintenanceCommands](value *T) []byte {
 	return marshal(value)
 }
 
@@ -196,7 +207,7 @@
 }
 
 // Decode reads what Encode returned.
-func Decode[T Spec | Record | PublicState | Counts | InterferenceState](kind string, encoded []byte) (*T, error) {
+func Decode[T Spec | Record | PublicState | Counts | InterferenceState | MaintenanceCommands](kind string, encoded []byte) (*T, error) {
 	var value T
 	if err := cbor.Unmarshal(encoded, &value); err != nil {
 		return nil, errors.WithStack(&CorruptRecordError{Kind: kind, Cause: err})
--- a/store/store.go
+++ b/store/store.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -136,6 +137,8 @@
 	TableInterference = "experience"
 	// TableLeadership holds one row, the leadership lease.
 	TableLeadership = "duty"
+	// TableMaintenance holds one row for each maintenance wave, with the commands that leaders have sent for it.
+	TableMaintenance = "maintenance"
 	// TableMembers holds one row for each instance that may become the leader.
 	TableMembers = "members"
 )
@@ -178,6 +181,9 @@
 // PendingKey returns the key of the row in TablePending of a job that has not started.
 func PendingKey(queue, id string) Key { return Key{TablePending, queue + "/" + id} }
 
+// MaintenanceKey returns the key of the row with the commands of a maintenance wave.
+func MaintenanceKey(wave int) Key { return Key{TableMaintenance, strconv.Itoa(wave)} }
+
 // CountsKey is the key of the row in TableCounts.
 var CountsKey = Key{TableCounts, "pending"}
 
