--- a/entry/latestart_test.go
+++ b/entry/latestart_test.go
@@ -64,8 +64,7 @@
 		// Tasks that end let polls be answered at once.
 		submit(jobID(next), width)
 		next++
-		_, text := s.exchange(http.MethodGet, late, nil)
-		return strings.Contains(text, "succeeded")
+		return s.succeeded(late)
 	})
 	for _, violation := range s.fleet.Violations() {
 		t.Error(violation)
--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -27,21 +27,15 @@
 			t.Fatalf("job %s: status %d", id, status)
 		}
 	}
-	succeeds := func(id string) {
-		s.waitFor("the job succeeds", func() bool {
-			_, text := s.exchange(http.MethodGet, id, nil)
-			return strings.Contains(text, "succeeded")
-		})
-	}
 	submit(jobID(1), `"count":5`)
-	succeeds(jobID(1))
+	s.waitFor("the job succeeds", func() bool { return s.succeeded(jobID(1)) })
 	submit(lasting, `"count":1,"long_running":true`)
 	s.waitFor("the lasting task runs", func() bool { return worker.Running() == 1 })
 	// By now the worker delays its response to a long poll.
 	time.Sleep(300 * time.Millisecond)
 	worker.RestartUnregistered()
 	submit(jobID(3), `"count":5`)
-	succeeds(jobID(3))
+	s.waitFor("the job succeeds", func() bool { return s.succeeded(jobID(3)) })
 	for _, violation := range s.fleet.Violations() {
 		t.Error(violation)
 	}
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -136,10 +136,14 @@
 	id := jobID(s.jobs)
 	body := []byte(`{"spec":"x","steps":[{"count":3,"cpu":100,"mem_mb":1},{"count":2,"cpu":100,"mem_mb":1,"after":[0]}]}`)
 	s.waitFor("the job is accepted", func() bool { return s.call(http.MethodPost, id, body) == http.StatusOK })
-	s.waitFor("the job succeeds", func() bool {
-		_, text := s.exchange(http.MethodGet, id, nil)
-		return strings.Contains(text, "succeeded")
-	})
+	s.waitFor("the job succeeds", func() bool { return s.succeeded(id) })
+}
+
+// succeeded reports whether a job is shown as succeeded.
+func (s *site) succeeded(id string) bool {
+	s.t.Helper()
+	_, text := s.exchange(http.MethodGet, id, nil)
+	return strings.Contains(text, "succeeded")
 }
 
 // checkNoPanic fails the test if the instance has recovered from a panic.
--- a/entry/terminations_test.go
+++ b/entry/terminations_test.go
@@ -81,10 +81,7 @@
 	time.Sleep(outage)
 	s.store.SetFault(nil)
 	for n := range jobCount {
-		s.waitFor("the jobs succeed", func() bool {
-			_, text := s.exchange(http.MethodGet, jobID(n+1), nil)
-			return strings.Contains(text, "succeeded")
-		})
+		s.waitFor("the jobs succeed", func() bool { return s.succeeded(jobID(n + 1)) })
 	}
 	time.Sleep(100 * time.Millisecond)
 	for i, violation := range s.fleet.Violations() {
--- a/execution/latestart_test.go
+++ b/execution/latestart_test.go
@@ -29,10 +29,7 @@
 }
 
 // pollEmpty lets a worker answer a poll that is sent now and list nothing.
-func (r *rig) pollEmpty(w *worker) {
-	r.advanceClock(time.Millisecond)
-	r.handlePoll(w, workers.PollRequest{Target: r.target(w)}, r.clock, workers.Inventory{Clock: 2000, StartTime: 1}, nil)
-}
+func (r *rig) pollEmpty(w *worker) { r.pollAs(w, testStartTime, 2000) }
 
 // Guards against a task that runs twice: its first start command had no response, the repeated one was refused, and the
 // worker carried out the first one after the task had been placed elsewhere.
