--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -77,8 +77,7 @@
 
 // markLost drops an attempt that is not running any more although its worker has not reported a termination.
 func (t *Term) markLost(a *taskAttempt, reason string) {
-	t.log.Warn().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
-		Str(logging.KeyWorker, string(a.worker.id())).Str(logging.KeyReason, reason).Msg("attempt lost")
+	t.logLost(a, reason)
 	a.task.lastEnded = max(a.task.lastEnded, a.number)
 	a.task.lostAttempt = a.number
 	t.detach(a)
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -48,7 +48,7 @@
 		t.unconfirmed[a] = struct{}{}
 	}
 	w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
-	w.startSentAt = now
+	w.startSentAt, w.startsSentAt = now, append(w.startsSentAt, now)
 	target := t.target(w)
 	a.token = target.FencingToken
 	command := workers.Start{
@@ -89,6 +89,7 @@
 	now := t.opts.Clock()
 	w := a.worker
 	a.startsPending--
+	t.logForeignClock(a, sentAt, now, clock)
 	if w.attempts[attemptKey{a.task.id, a.number}] != a || a.phase != phaseSent {
 		return
 	}
@@ -104,8 +105,7 @@
 		a.phase, a.confirmedAt, a.progressAt = phaseRunning, now, now
 		t.opts.Metrics.started(now - a.task.readyAt)
 		a.startedAt = now
-		t.detailLog.Info().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
-			Str(logging.KeyWorker, string(w.id())).Dur("waited", now-a.task.readyAt).Msg("attempt started")
+		t.logStarted(a, now)
 		t.markStarted(a.task.job)
 		return
 	}
--- a/execution/fleetlog.go
+++ b/execution/fleetlog.go
@@ -56,15 +56,8 @@
 
 // phaseLabel returns the name under which the fleet summary counts the attempt.
 func (a *taskAttempt) phaseLabel() string {
-	switch {
-	case a.stopping:
+	if a.stopping {
 		return "stopping"
-	case a.phase == phaseRecording:
-		return "recording"
-	case a.phase == phaseSent:
-		return "ordered"
-	case a.phase == phaseInherited:
-		return "inherited"
 	}
-	return "running"
+	return a.phase.String()
 }
--- a/execution/model.go
+++ b/execution/model.go
@@ -233,6 +233,8 @@
 	clockAt time.Duration
 	// startSentAt is when the latest start command was sent.
 	startSentAt time.Duration
+	// startsSentAt holds when the start commands were sent that the latest answered poll does not cover, for the log.
+	startsSentAt []time.Duration
 	// fenced is set once the worker has accepted this term's fencing token and so refuses commands of earlier terms.
 	fenced bool
 
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -182,6 +182,7 @@
 		t.opts.Invalid.Report(invalid.SourceWorker, string(w.id()), uint64(inventory.Unknown), invalid.New(invalid.KindUndecodable, "list of attempts"))
 	}
 	t.applyIncarnation(w, inventory.StartTime)
+	w.forgetStartsBefore(sentAt)
 	if inventory.StartTime == request.StartTime {
 		w.ackedUpTo = max(w.ackedUpTo, inventory.AckedUpTo)
 	}
@@ -218,8 +219,7 @@
 		return
 	}
 	if w.isNewIncarnation(startTime) {
-		t.log.Warn().Str(logging.KeyWorker, string(w.id())).Int64("born", startTime).Int("attempts", len(w.attempts)).
-			Int64("acknowledged", w.ackedUpTo).Msg("worker started again")
+		t.logIncarnation(w, startTime)
 		w.incarnation++
 		w.fenced = false
 	}
--- a/execution/term.go
+++ b/execution/term.go
@@ -259,7 +259,7 @@
 	t.loadedAt = t.opts.Clock()
 	took := t.loadedAt - t.startedAt
 	t.opts.Metrics.tookOver(took)
-	t.log.Info().Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).Int("engaged", len(t.active)).Dur("took", took).Msg("duty taken")
+	t.logTakenOver(took)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	dueTimer := time.NewTimer(0)
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -163,6 +163,7 @@
 	if !w.registered && !t.loading {
 		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", registration.Addr).Msg("worker listed")
 	}
+	t.logRegisteredAgain(w, registration)
 	if w.node.Registration.Addr != registration.Addr || (registration.StartTime != 0 && w.startTime != 0 && registration.StartTime > w.startTime) {
 		// A new incarnation of the worker has not accepted a fencing token of this term yet.
 		w.fenced = false
