--- a/execution/attemptlog_test.go
+++ b/execution/attemptlog_test.go
@@ -85,16 +85,8 @@
 
 // Guards against a take-over of which the log does not say how long it lets inherited leases last, and for which attempts.
 func TestLinesOfInheritedAttempt(t *testing.T) {
-	table := memory.New()
-	before := newRig(t, table)
-	before.addWorker("w", 1000)
-	before.submit("a", oneStep(1, 100))
-	before.scheduleAndCommit()
-	r := newRig(t, table)
+	r, _ := newInheritingRig(t)
 	out := r.recordLog()
-	if _, err := r.readTables(r.ctx); err != nil {
-		t.Fatal(err)
-	}
 	r.advanceClock(time.Second)
 	left := r.inheritedLeaseExpiry() - r.clock
 	r.logTakenOver(time.Second)
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -75,9 +75,19 @@
 	}
 }
 
+// Reasons for which an attempt is lost. The reason of the worker follows lostRefused.
+const (
+	lostNotListed    = "not listed by its worker"
+	lostRestarted    = "its worker has restarted"
+	lostLeaseExpired = "its lease has run out"
+	lostRefused      = "refused: "
+)
+
 // markLost drops an attempt that is not running any more although its worker has not reported a termination.
 func (t *Term) markLost(a *taskAttempt, reason string) {
 	t.logLost(a, reason)
+	t.opts.Metrics.lost(reason)
+	t.noteResolved(a, resolvedLost, t.opts.Clock())
 	a.task.lastEnded = max(a.task.lastEnded, a.number)
 	a.task.lostAttempt = a.number
 	t.detach(a)
@@ -85,6 +95,25 @@
 	t.markChanged(a.task.job)
 }
 
+// markStarted notes that a task of a job has started.
+func (t *Term) markStarted(j *job) {
+	if j.started && j.state != jobs.StateQueued {
+		return
+	}
+	j.started = true
+	if j.state == jobs.StateQueued {
+		j.state = jobs.StateRunning
+	}
+	t.markChanged(j)
+}
+
+// noteResolved observes for how long an inherited attempt was not known to be running or not, which ends now.
+func (t *Term) noteResolved(a *taskAttempt, outcome string, now time.Duration) {
+	if a.phase == phaseInherited {
+		t.opts.Metrics.inheritedResolved(outcome, now-t.startedAt)
+	}
+}
+
 // handleTermination handles the termination of an attempt that a worker reports.
 func (t *Term) handleTermination(w *worker, termination workers.Termination) {
 	j := t.jobs[termination.Task.Job]
@@ -104,6 +133,7 @@
 		if a.startedAt > 0 {
 			ran = t.opts.Clock() - a.startedAt
 		}
+		t.noteResolved(a, resolvedEnded, t.opts.Clock())
 		t.detach(a)
 	}
 	// An earlier term may have counted the termination already; task.lastEnded, restored from the progress record,
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -142,7 +142,7 @@
 		t.abandonStart(a, "refused after a start command without a response")
 		return
 	}
-	t.markLost(a, "refused: "+string(refused.Reason))
+	t.markLost(a, lostRefused+string(refused.Reason))
 }
 
 // refusesAllStarts reports whether a worker that has refused one start command of an attempt will refuse all others, too. A
--- a/execution/metrics.go
+++ b/execution/metrics.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,8 +25,18 @@
 	startWait         prometheus.Histogram
 	jobAge            prometheus.Histogram
 	takeoverDuration  prometheus.Histogram
+	losses            *prometheus.CounterVec
+	restarts          prometheus.Counter
+	inheritedDuration *prometheus.HistogramVec
 }
 
+// Outcomes of an inherited attempt: its worker lists it as running or reports its termination, or it is lost.
+const (
+	resolvedListed = "listed"
+	resolvedEnded  = "ended"
+	resolvedLost   = "lost"
+)
+
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -55,8 +66,21 @@
 			Namespace: namespace, Name: "duty_takeover_seconds", Help: "Time from a claim of the duty until its rows are read.",
 			Buckets: latencyBuckets,
 		}),
+		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "attempts_lost_total", Help: "Attempts that were lost, by reason.",
+		}, []string{"reason"}),
+		restarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "workers_started_again_total", Help: "Workers that answered as another incarnation under their ID.",
+		}),
+		inheritedDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "inherited_attempt_seconds", Help: "Time from a take-over until it was known what became of an inherited attempt, by outcome.",
+			Buckets: latencyBuckets,
+		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.takeoverDuration, m.terminations, m.jobs, m.placementFailures, m.commits, m.commitDuration, m.startWait, m.jobAge)
+	registry.MustRegister(
+		m.takeoverDuration, m.terminations, m.jobs, m.placementFailures, m.commits, m.commitDuration, m.startWait, m.jobAge,
+		m.losses, m.restarts, m.inheritedDuration,
+	)
 	return m
 }
 
@@ -87,3 +111,29 @@
 
 // started observes the time for which a started task has waited.
 func (m *Metrics) started(waited time.Duration) { m.startWait.Observe(waited.Seconds()) }
+
+// lost counts an attempt that was lost.
+func (m *Metrics) lost(reason string) { m.losses.WithLabelValues(lossLabel(reason)).Inc() }
+
+// lossLabel returns the label value of the reason for which an attempt was lost.
+func lossLabel(reason string) string {
+	switch {
+	case reason == lostNotListed:
+		return "not-listed"
+	case reason == lostRestarted:
+		return "restarted"
+	case reason == lostLeaseExpired:
+		return "lease-expired"
+	case strings.HasPrefix(reason, lostRefused):
+		return "refused"
+	}
+	return "other"
+}
+
+// startedAgain counts a worker that another incarnation answers for.
+func (m *Metrics) startedAgain() { m.restarts.Inc() }
+
+// inheritedResolved observes the time from the start of a term until it was known what became of an inherited attempt.
+func (m *Metrics) inheritedResolved(outcome string, unresolved time.Duration) {
+	m.inheritedDuration.WithLabelValues(outcome).Observe(unresolved.Seconds())
+}
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -8,7 +8,6 @@
 
 	"bronzehook/fault"
 	"bronzehook/invalid"
-	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/logging"
 	"bronzehook/workers"
@@ -220,6 +219,7 @@
 	}
 	if w.isNewIncarnation(startTime) {
 		t.logIncarnation(w, startTime)
+		t.opts.Metrics.startedAgain()
 		w.incarnation++
 		w.fenced = false
 	}
@@ -254,7 +254,7 @@
 	}
 	for key, a := range w.attempts {
 		if !reported[key] && a.ruledOutBy(request, polledAt) {
-			t.markLost(a, "not listed by its worker")
+			t.markLost(a, lostNotListed)
 		}
 	}
 }
@@ -273,6 +273,7 @@
 // confirmRunning applies what a worker reports of an expected attempt.
 func (t *Term) confirmRunning(a *taskAttempt, running *workers.Running, now time.Duration) {
 	if a.phase != phaseRunning {
+		t.noteResolved(a, resolvedListed, now)
 		if a.phase == phaseInherited && (a.task.done || a.task.job.terminal()) {
 			a.phase = phaseRunning
 			t.stop(a, "no longer needed")
@@ -341,7 +342,7 @@
 func (t *Term) handleNewIncarnation(w *worker) {
 	for _, a := range w.attempts {
 		if a.phase != phaseRecording {
-			t.markLost(a, "its worker has restarted")
+			t.markLost(a, lostRestarted)
 		}
 	}
 	clear(w.orphans)
@@ -367,7 +368,7 @@
 		}
 		for _, a := range w.attempts {
 			if a.phase != phaseRecording {
-				t.markLost(a, "its lease has run out")
+				t.markLost(a, lostLeaseExpired)
 			}
 		}
 		if !w.registered && len(w.attempts) == 0 && now > w.leasesExpireAt+maxPollRetryDelay {
@@ -388,15 +389,3 @@
 	t.active = slices.DeleteFunc(t.active, func(other *worker) bool { return other == w })
 	t.nodes.remove(&w.node)
 }
-
-// markStarted notes that a task of a job has started.
-func (t *Term) markStarted(j *job) {
-	if j.started && j.state != jobs.StateQueued {
-		return
-	}
-	j.started = true
-	if j.state == jobs.StateQueued {
-		j.state = jobs.StateRunning
-	}
-	t.markChanged(j)
-}
