--- a/execution/poll.go
+++ b/execution/poll.go
@@ -8,7 +8,6 @@
 
 	"bronzehook/fault"
 	"bronzehook/invalid"
-	"bronzehook/jobs"
 	"bronzehook/leadership"
 	"bronzehook/logging"
 	"bronzehook/workers"
@@ -182,6 +181,7 @@
 		t.opts.Invalid.Report(invalid.SourceWorker, string(w.id()), uint64(inventory.Unknown), invalid.New(invalid.KindUndecodable, "list of attempts"))
 	}
 	t.applyIncarnation(w, inventory.StartTime)
+	w.forgetStartsBefore(sentAt)
 	if inventory.StartTime == request.StartTime {
 		w.ackedUpTo = max(w.ackedUpTo, inventory.AckedUpTo)
 	}
@@ -218,8 +218,8 @@
 		return
 	}
 	if w.isNewIncarnation(startTime) {
-		t.log.Warn().Str(logging.KeyWorker, string(w.id())).Int64("born", startTime).Int("attempts", len(w.attempts)).
-			Int64("acknowledged", w.ackedUpTo).Msg("worker started again")
+		t.logIncarnation(w, startTime)
+		t.opts.Metrics.startedAgain()
 		w.incarnation++
 		w.fenced = false
 	}
@@ -254,7 +254,7 @@
 	}
 	for key, a := range w.attempts {
 		if !reported[key] && a.ruledOutBy(request, polledAt) {
-			t.markLost(a, "not listed by its worker")
+			t.markLost(a, lostNotListed)
 		}
 	}
 }
@@ -273,6 +273,7 @@
 // confirmRunning applies what a worker reports of an expected attempt.
 func (t *Term) confirmRunning(a *taskAttempt, running *workers.Running, now time.Duration) {
 	if a.phase != phaseRunning {
+		t.noteResolved(a, resolvedListed, now)
 		if a.phase == phaseInherited && (a.task.done || a.task.job.terminal()) {
 			a.phase = phaseRunning
 			t.stop(a, "no longer needed")
@@ -341,7 +342,7 @@
 func (t *Term) handleNewIncarnation(w *worker) {
 	for _, a := range w.attempts {
 		if a.phase != phaseRecording {
-			t.markLost(a, "its worker has restarted")
+			t.markLost(a, lostRestarted)
 		}
 	}
 	clear(w.orphans)
@@ -367,7 +368,7 @@
 		}
 		for _, a := range w.attempts {
 			if a.phase != phaseRecording {
-				t.markLost(a, "its lease has run out")
+				t.markLost(a, lostLeaseExpired)
 			}
 		}
 		if !w.registered && len(w.attempts) == 0 && now > w.leasesExpireAt+maxPollRetryDelay {
@@ -388,15 +389,3 @@
 	t.active = slices.DeleteFunc(t.active, func(other *worker) bool { return other == w })
 	t.nodes.remove(&w.node)
 }
-
-// markStarted notes that a task of a job has started.
-func (t *Term) markStarted(j *job) {
-	if j.started && j.state != jobs.StateQueued {
-		return
-	}
-	j.started = true
-	if j.state == jobs.StateQueued {
-		j.state = jobs.StateRunning
-	}
-	t.markChanged(j)
-}
