--- a/logs/timeline.go
+++ b/logs/timeline.go
@@ -68,16 +68,22 @@
 func BuildTimeline(id string, lines []Line) Timeline {
 	timeline := Timeline{ID: id}
 	workerOf := make(map[string]string)
+	spans := attemptSpans(id, lines)
+	// Lines on the worker from before and after an attempt neither begin nor end a wait.
+	var lifecycle []Line
 	for _, line := range lines {
 		switch {
 		case isAbout(line, id):
-			timeline.Lines = append(timeline.Lines, line)
+			lifecycle = append(lifecycle, line)
 			trackWorker(workerOf, line)
 		case strings.HasPrefix(line.Message, workerMessagePrefix) && hasAttemptOn(workerOf, line.Fields[logging.KeyWorker]):
-			timeline.Lines = append(timeline.Lines, line)
+			lifecycle = append(lifecycle, line)
+		case !tellsIncarnation(spans, line):
+			continue
 		}
+		timeline.Lines = append(timeline.Lines, line)
 	}
-	timeline.Waits = findWaits(timeline.Lines)
+	timeline.Waits = findWaits(lifecycle)
 	for i := range timeline.Waits {
 		addCause(&timeline.Waits[i], lines)
 	}
@@ -93,7 +99,7 @@
 
 // trackWorker updates the worker of each attempt that may be running.
 func trackWorker(workerOf map[string]string, line Line) {
-	attempt := line.Fields[logging.KeyTask] + "/" + line.Fields[logging.KeyAttempt]
+	attempt := attemptOf(line)
 	switch line.Message {
 	case messageAttemptPlaced, messageAttemptStarted:
 		workerOf[attempt] = line.Fields[logging.KeyWorker]
@@ -104,6 +110,11 @@
 	}
 }
 
+// attemptOf returns the key of the attempt that a line is about.
+func attemptOf(line Line) string {
+	return line.Fields[logging.KeyTask] + "/" + line.Fields[logging.KeyAttempt]
+}
+
 // hasAttemptOn reports whether an attempt may be running on the worker.
 func hasAttemptOn(workerOf map[string]string, worker string) bool {
 	for _, attemptWorker := range workerOf {
@@ -202,6 +213,8 @@
 		{messageAttemptLost, logging.KeyReason, "attempts lost"},
 		{"attempt to be stopped", logging.KeyReason, "attempts to be stopped"},
 		{messageWorkerUnresponsive, logging.KeyWorker, "its worker did not answer"},
+		{messageWorkerRestarted, logging.KeyWorker, "its worker started again"},
+		{messageStartForeignClock, logging.KeyWorker, "starts on its worker answered by another incarnation"},
 	} {
 		counts := make(map[string]int)
 		for _, line := range timeline.Lines {
