--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -32,6 +32,8 @@
 const (
 	testHost = "scheduler.example"
 	testPath = "/jobs/"
+	// testLease is the longest attempt lease that workers grant, unless a test sets another one for them and the instances.
+	testLease = 3 * time.Second
 )
 
 // newSite starts the platform with two workers, without a scheduler instance.
@@ -44,6 +46,7 @@
 	s.fleet = platformtest.NewFleet(s.store, "svc", platformtest.Behaviour{
 		Duration: func(string) time.Duration { return 50 * time.Millisecond },
 	})
+	s.fleet.MaxLease = testLease
 	t.Cleanup(s.fleet.Close)
 	s.addWorker()
 	s.addWorker()
@@ -66,6 +69,11 @@
 	return w
 }
 
+// leaseArgument returns the argument that tells an instance the longest attempt lease that workers grant.
+func leaseArgument(limit time.Duration) string {
+	return fmt.Sprintf("--lease-ms=%d", limit.Milliseconds())
+}
+
 // startInstance starts the scheduler instance that the site's calls go to and waits until it serves.
 func (s *site) startInstance(more ...string) *process {
 	s.t.Helper()
@@ -79,7 +87,7 @@
 	s.t.Helper()
 	settings, err := ParseSettings(append([]string{
 		"--id=" + name, "--region=r", "--data-centre=d", "--caller-addr=" + loopback.Addr(), "--ready-addr=" + loopback.Addr(),
-		"--store-addr=" + s.storeAddr, "--lease-ms=3000",
+		"--store-addr=" + s.storeAddr, leaseArgument(testLease),
 	}, more...))
 	if err != nil {
 		s.t.Fatal(err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,6 +102,9 @@
 	return binary
 }
 
+// maxLease is the longest attempt lease that workers grant.
+const maxLease = 5 * time.Second
+
 // instance is one scheduler instance, run as a process, with its proxy to the store.
 type instance struct {
 	name       string
@@ -127,7 +130,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	command := exec.Command(i.binary, "entry", "--id="+i.name, "--region=r", "--data-centre=d",
-		"--caller-addr="+i.callerAddr, "--ready-addr="+i.readyAddr, "--store-addr="+i.storeProxy.addr(), "--lease-ms=5000",
+		"--caller-addr="+i.callerAddr, "--ready-addr="+i.readyAddr, "--store-addr="+i.storeProxy.addr(), fmt.Sprintf("--lease-ms=%d", maxLease.Milliseconds()),
 		"--peer-addr="+i.peerAddr, "--machines-addr="+i.machinesAddr, "--machine-turn-ms=1000",
 		"--stop-timeout-s=3", "--time-offset-file="+i.clockOffsetFile)
 	command.Stdout, command.Stderr = i.log, i.log
@@ -220,6 +223,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	s.fleet = platformtest.NewFleet(s.store, "svc", behaviour(seed))
+	s.fleet.MaxLease = maxLease
 	t.Cleanup(s.fleet.Close)
 	if seed%2 == 0 {
 		s.fleet.CPU = s.size.scarceCPU
