--- /dev/null
+++ b/entry/foreignclock_test.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bronzehook/platform/platformtest"
+)
+
+const (
+	// longLease exceeds the attempt lease that leaders grant.
+	longLease = 10 * time.Second
+	// unnoticedRestart is how long no poll is answered after a worker has started again.
+	unnoticedRestart = 500 * time.Millisecond
+)
+
+// restartedSite is a site in which a worker starts again while the start of a task is on its way there. None of its polls is
+// answered between its start and that of the task, nor after that.
+type restartedSite struct {
+	*site
+	first, other *platformtest.Worker
+	leader       *process
+}
+
+func newRestartedSite(t *testing.T) *restartedSite {
+	t.Helper()
+	s := newSite(t)
+	s.fleet.MaxLease = longLease
+	lasting := jobID(1000)
+	s.fleet.Behaviour.Duration = func(task string) time.Duration {
+		if strings.HasPrefix(task, lasting) {
+			return time.Minute
+		}
+		return 50 * time.Millisecond
+	}
+	r := &restartedSite{site: s, first: s.fleet.Workers()[0], other: s.fleet.Workers()[1]}
+	r.other.Deregister()
+	r.first.SetClockAge(time.Hour)
+	r.leader = s.startInstance(leaseArgument(longLease))
+	// The leader then has the clock of the first incarnation and one connection for commands, so that it needs another one for
+	// a start that is overdue.
+	s.submitTask(jobID(1))
+	s.waitFor("the job succeeds", func() bool { return s.succeeded(jobID(1)) })
+	r.first.Crash()
+	s.submitTask(lasting)
+	s.waitFor("the start is on its way", func() bool { return r.first.CallsHeld("/-/run-start") > 0 })
+	startedAgain := time.Now()
+	r.first.SetFault(func(call *http.Request) platformtest.Fault {
+		if call.URL.Path == "/-/hold" && (r.first.Running() > 0 || time.Since(startedAgain) < unnoticedRestart) {
+			return platformtest.FaultRequestLost
+		}
+		return platformtest.FaultNone
+	})
+	r.first.RestartUnregistered()
+	s.waitFor("the task runs on the worker that has started again", func() bool { return r.first.Running() == 1 })
+	return r
+}
+
+// submitTask submits a job of one task.
+func (s *site) submitTask(id string) {
+	s.t.Helper()
+	body := []byte(`{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1}]}`)
+	if status := s.call(http.MethodPost, id, body); status != http.StatusOK {
+		s.t.Fatalf("job %s: status %d", id, status)
+	}
+}
+
+// checkNextAttempt waits until the task starts on the other worker, and checks that the first attempt has ended by then.
+func (r *restartedSite) checkNextAttempt() {
+	r.t.Helper()
+	r.other.Register()
+	r.waitAtMost(2*longLease, "the task starts elsewhere", func() bool { return r.other.Running() == 1 })
+	for _, violation := range r.fleet.Violations() {
+		r.t.Error(violation)
+	}
+}
+
+// Guards against two attempts of a task at work after a start by the clock of an earlier incarnation, for which the worker
+// grants its longest lease, a cut of the worker and a new leader.
+func TestForeignClockLeaseDoesNotOutliveTakeover(t *testing.T) {
+	t.Parallel()
+	r := newRestartedSite(t)
+	r.startNamed("n1", leaseArgument(longLease))
+	r.first.CutOff()
+	if err := r.leader.kernel.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	r.checkNextAttempt()
+}
+
+// Guards against two attempts of a task at work after a start by the clock of an earlier incarnation, for which the worker
+// grants its longest lease, and a cut of the worker before the leader notices the restart.
+func TestForeignClockLeaseDoesNotOutliveCutOff(t *testing.T) {
+	t.Parallel()
+	r := newRestartedSite(t)
+	r.first.CutOff()
+	r.checkNextAttempt()
+}
--- a/entry/site_test.go
+++ b/entry/site_test.go
@@ -127,12 +127,17 @@
 
 func (s *site) waitFor(what string, condition func() bool) {
 	s.t.Helper()
-	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	s.waitAtMost(15*time.Second, what, condition)
+}
+
+func (s *site) waitAtMost(limit time.Duration, what string, condition func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if condition() {
 			return
 		}
 	}
-	s.t.Fatalf("not within 15 s: %s", what)
+	s.t.Fatalf("not within %v: %s", limit, what)
 }
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
