Send a start to the incarnation of a worker that its lease is for

A worker that starts again keeps its ID and address and takes the start on a new connection. The expiry is far ahead of its new clock, so it grants its own limit of 10 s instead of the 7 s that the leader meant, and the lease is one for all attempts there. The leader that sent the start waits that out once it has noticed the restart; the next leader, or one that notices nothing because the worker is cut off, starts the task elsewhere after 7.4 s.

Carriers pass the incarnation on; their protocol has version 3.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -39,7 +39,7 @@
 	TextKnown  bool
 	Checkpoint string
 	Ticket     string
-	// LeaseExpiry is that of a start or poll. StartTime and AckUpTo are those of a poll.
+	// LeaseExpiry and StartTime are those of a start or poll. AckUpTo is that of a poll.
 	LeaseExpiry int64
 	StartTime   int64
 	AckUpTo     int64
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -22,7 +22,7 @@
 
 // upgradeProtocol names the protocol and its version. During a rolling update, a leader makes the calls itself instead of
 // using instances with another version.
-const upgradeProtocol = "bronzehook-carrier/2"
+const upgradeProtocol = "bronzehook-carrier/3"
 
 // Timing of a connection.
 const (
@@ -157,7 +157,7 @@
 	case kindStart:
 		answer.Clock, err = c.client.Start(c.ctx, workers.Start{
 			Target: request.target(), Task: request.Task.task(), Attempt: request.Attempt, Text: request.Text,
-			Checkpoint: request.Checkpoint, LeaseExpiry: request.LeaseExpiry, Ticket: request.Ticket,
+			Checkpoint: request.Checkpoint, StartTime: request.StartTime, LeaseExpiry: request.LeaseExpiry, Ticket: request.Ticket,
 		})
 	case kindStop:
 		err = c.client.Stop(c.ctx, request.target(), request.Task.task(), request.Attempt)
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -53,7 +53,7 @@
 	a.token = target.FencingToken
 	command := workers.Start{
 		Target: target, Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
-		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), LeaseExpiry: w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds(),
+		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), StartTime: w.startTime, LeaseExpiry: t.leaseExpiry(w, now),
 	}
 	if command.Via != "" {
 		t.opts.Carriers.StartVia(command, func(clock int64, err error) { t.handleStart(a, command.Target, now, clock, err) })
@@ -127,6 +127,14 @@
 	case reason == workers.ReasonIncarnation && !w.mayPredate(sentTo, sentAt):
 		t.handleNewIncarnation(w)
 		return
+	case reason == workers.ReasonRestarted:
+		if w.fenced && !w.mayPredate(sentTo, sentAt) {
+			t.raiseToken(w)
+		}
+		if a.startsPending > 0 {
+			// The other start command may be for the present incarnation.
+			return
+		}
 	case reason == workers.ReasonUnhealthy:
 		w.breaker.trip(now)
 		t.logPenalty(w, "refuses: "+string(reason), w.breaker.coolDown)
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -108,7 +108,7 @@
 	// An unresponsive worker is granted no further attempt lease, so that the last one granted expires.
 	if w.clockAt > 0 && len(w.attempts) > 0 && w.pollFailures == 0 {
 		w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
-		request.LeaseExpiry = w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds()
+		request.LeaseExpiry = t.leaseExpiry(w, now)
 	}
 	return request
 }
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -120,6 +120,8 @@
 	Attempt    int
 	Text       string
 	Checkpoint string
+	// StartTime is the start time of the incarnation that LeaseExpiry is for. No other one carries the command out.
+	StartTime int64
 	// LeaseExpiry is the expiry of the attempt lease on the worker's clock, in ms.
 	LeaseExpiry int64
 	// Ticket is the ticket from the advice that allows the start on this worker; empty if none is needed.
@@ -144,7 +146,8 @@
 // Client sends commands to workers. Errors are *RefusedError if the worker replied and did nothing, else errors with
 // CodeUnreachable, after which the command may have been executed or may still be.
 type Client interface {
-	// Start returns the worker's clock.
+	// Start returns the worker's clock. It refuses with ReasonRestarted, without sending the command, where the command could
+	// reach another incarnation than that of the command, which may have the same ID and address.
 	Start(ctx context.Context, command Start) (int64, error)
 	Stop(ctx context.Context, target Target, task jobs.Task, attempt int) error
 	// Poll leaves out LeaseExpiry and AckUpTo wherever the call may reach another incarnation than that of the request,
@@ -180,8 +183,11 @@
 	ReasonNoCapacity Reason = "room"
 	// ReasonTicket means that the advice ticket is missing or too old.
 	ReasonTicket Reason = "ticket"
-	// ReasonIncarnation means that another incarnation of the worker replied.
+	// ReasonIncarnation means that a process with another ID replied.
 	ReasonIncarnation Reason = "life"
+	// ReasonRestarted means that the worker has started again since, so that the incarnation that a start command is for is
+	// gone. The command was not sent.
+	ReasonRestarted Reason = "restarted"
 	// ReasonUnhealthy means that the worker currently accepts no commands.
 	ReasonUnhealthy Reason = "unhealthy"
 	ReasonInvalid   Reason = "invalid"
