Start an attempt on the incarnation of a worker that it was placed on

If the worker started again while the attempt was recorded, or before a repeated start, the next start went to the later incarnation, which may be of another kind. After a start that was not sent because its incarnation is gone, an attempt waited for its other starts, though all are for that incarnation.

An attempt whose worker has answered as another incarnation is lost before its next start, and its task is placed again.

--- a/execution/commands.go
+++ b/execution/commands.go
@@ -35,6 +35,11 @@
 		t.stop(a, "no longer needed")
 		return
 	}
+	if a.startTime != w.startTime {
+		// The task was placed by what the earlier incarnation was: its capacity, labels and ticket.
+		t.markLost(a, lostRestarted)
+		return
+	}
 	if w.node.Registration.Draining || !w.registered {
 		t.cancelStart(a)
 		return
@@ -53,7 +58,7 @@
 	a.token = target.FencingToken
 	command := workers.Start{
 		Target: target, Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
-		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), StartTime: w.startTime, LeaseExpiry: t.leaseExpiry(w, now),
+		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), StartTime: a.startTime, LeaseExpiry: t.leaseExpiry(w, now),
 	}
 	if command.Via != "" {
 		t.opts.Carriers.StartVia(command, func(clock int64, err error) { t.handleStart(a, command.Target, now, clock, err) })
@@ -131,10 +136,9 @@
 		if w.fenced && !w.mayPredate(sentTo, sentAt) {
 			t.raiseToken(w)
 		}
-		if a.startsPending > 0 {
-			// The other start command may be for the present incarnation.
-			return
-		}
+		// The incarnation is gone that all start commands of the attempt are for.
+		t.markLost(a, lostRefused+string(reason))
+		return
 	case reason == workers.ReasonUnhealthy:
 		w.breaker.trip(now)
 		t.logPenalty(w, "refuses: "+string(reason), w.breaker.coolDown)
--- a/execution/model.go
+++ b/execution/model.go
@@ -38,7 +38,10 @@
 	task   *task
 	number int
 	worker *worker
-	phase  phase
+	// startTime is the start time of the incarnation of the worker that the attempt was placed on. All start commands are for
+	// that one.
+	startTime int64
+	phase     phase
 	// recordSequence is the change sequence number of the job with which the attempt was created. The start command is
 	// sent once that change is stored.
 	recordSequence uint64
