Reckon leases from the least value that a worker's clock can have

The estimate was ahead of the clock by the drift since, and a lease reckoned from it ended later: about 1.2 s later after a minute. The leader that granted it counted that in; the next one assumes a lease from the end of the earlier term (inheritedLeaseExpiry).

Change: the expiry of a lease is reckoned from the least value that the clock can have. As a lease is shorter then by the drift, the clock of an idle worker is read again after a minute, and a worker whose clock was read over 90 s ago gets nothing. startAfterIdle refreshes the nodes before it schedules, as Term.advance does.

--- a/execution/attemptlog.go
+++ b/execution/attemptlog.go
@@ -80,6 +80,11 @@
 		Int64("born", w.startTime).Int64("clock", clock).Int64("estimated_clock", w.clockNow(now)).Msg("start answered by another clock")
 }
 
+// clockNow estimates the worker's clock. The estimate is ahead of that clock by at most the clock drift since clockAt.
+func (w *worker) clockNow(now time.Duration) int64 {
+	return w.clock + (now - w.clockAt).Milliseconds()
+}
+
 // clockFits reports whether the incarnation of the worker that answered last can have had a clock between sentAt and now.
 func (w *worker) clockFits(clock int64, sentAt, now time.Duration) bool {
 	drift := func(at time.Duration) time.Duration {
--- a/execution/incarnation_test.go
+++ b/execution/incarnation_test.go
@@ -219,3 +219,21 @@
 		})
 	}
 }
+
+// Guards against a start whose lease has expired before it arrives, as the clock of an idle worker was read long ago.
+func TestClockOfIdleWorkerIsReadAgain(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.Term.poll(r.clock)
+	r.handleEvents()
+	if n := len(r.client.polls); n != 0 {
+		t.Fatalf("%d polls of an idle worker", n)
+	}
+	r.advanceClock(clockReadInterval + time.Millisecond)
+	r.commitAll()
+	r.Term.poll(r.clock)
+	r.handleEvents()
+	if n := len(r.client.polls); n != 1 || w.clockAt != r.clock {
+		t.Errorf("%d polls, clock read %v ago", n, r.clock-w.clockAt)
+	}
+}
--- a/execution/model.go
+++ b/execution/model.go
@@ -285,9 +285,9 @@
 
 func (w *worker) id() workers.ID { return w.node.Registration.ID }
 
-// clockNow estimates the worker's clock. The estimate is ahead of that clock by at most the clock drift since clockAt.
-func (w *worker) clockNow(now time.Duration) int64 {
-	return w.clock + (now - w.clockAt).Milliseconds()
+// leastClock returns the least value that the worker's clock can have now.
+func (w *worker) leastClock(now time.Duration) int64 {
+	return w.clock + time.Duration(float64(now-w.clockAt)/maxClockDriftFactor).Milliseconds()
 }
 
 // noteClock records the clock that a worker has reported; 0 means that it has reported none.
@@ -310,15 +310,16 @@
 // leaseExpiryMargin is added to the time at which an attempt lease is taken to have expired.
 const leaseExpiryMargin = 60 * time.Millisecond
 
-// leaseExpiry returns when an attempt lease that is granted to a worker now is to expire, on the worker's clock.
+// leaseExpiry returns when an attempt lease that is granted to a worker now is to expire, on the worker's clock. It is reckoned
+// from the least value of that clock: however long ago that was read, the lease ends within its duration and the drift of the
+// clock, which is what the next term assumes (see Term.inheritedLeaseExpiry).
 func (t *Term) leaseExpiry(w *worker, now time.Duration) int64 {
-	return w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds()
+	return w.leastClock(now) + t.opts.AttemptLeaseDuration.Milliseconds()
 }
 
-// noteLeaseGrant notes that an attempt lease of the given duration is about to be granted to attempts on the worker.
+// noteLeaseGrant notes that an attempt lease that ends at leaseExpiry is about to be granted to attempts on the worker.
 func (w *worker) noteLeaseGrant(now, duration time.Duration) {
-	age := now - w.clockAt
-	expiry := w.clockAt + time.Duration(float64(age+duration)*maxClockDriftFactor) + leaseExpiryMargin
+	expiry := now + time.Duration(float64(duration)*maxClockDriftFactor) + leaseExpiryMargin
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
@@ -333,7 +334,16 @@
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
+// The lease of a start is shorter by the drift that the worker's clock may have had since it was read, and has to last until the
+// next poll renews it. So the clock of an idle worker is read again after clockReadInterval, and a worker whose clock was
+// read longer than maxClockAge ago gets nothing.
+const (
+	clockReadInterval = time.Minute
+	maxClockAge       = 90 * time.Second
+)
+
 // needsPolling reports whether the worker has to be polled.
-func (w *worker) needsPolling() bool {
-	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo
+func (w *worker) needsPolling(now time.Duration) bool {
+	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo ||
+		now-w.clockAt > clockReadInterval
 }
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -26,7 +26,7 @@
 			t.hedgePoll(w, now)
 			continue
 		}
-		if w.polling || now < w.nextPoll || w.node.Registration.Addr == "" || !w.needsPolling() {
+		if w.polling || now < w.nextPoll || w.node.Registration.Addr == "" || !w.needsPolling(now) {
 			continue
 		}
 		if !w.registered && !w.fenced && w.pollFailures > 0 && len(w.attempts) == 0 {
--- a/execution/slowclock_test.go
+++ b/execution/slowclock_test.go
@@ -22,6 +22,7 @@
 	r.client.clock = clock
 	r.submit("a", oneStep(1, 100))
 	for range 3 {
+		r.refreshNodes(r.clock)
 		r.scheduleAndCommit()
 		r.poll(r.clock)
 		r.handleEvents()
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -228,7 +228,8 @@
 func (t *Term) refreshNodes(now time.Duration) {
 	t.usableCount, t.usableCPU, t.degradedCount = 0, 0, 0
 	for _, w := range t.active {
-		usable := w.registered && w.fenced && !w.node.Registration.Draining && w.pollFailures == 0 && len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w)
+		usable := w.registered && w.fenced && !w.node.Registration.Draining && w.pollFailures == 0 && len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w) &&
+			now-w.clockAt <= maxClockAge
 		if usable && !w.node.Usable {
 			t.scheduleDue = true
 		}
