--- a/execution/incarnation_test.go
+++ b/execution/incarnation_test.go
@@ -140,3 +140,100 @@
 		})
 	}
 }
+
+// Guards against a start by the clock of one incarnation that says nothing on which incarnation it is for.
+func TestStartNamesItsIncarnation(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.pollAs(w, laterStartTime, 10)
+	r.pollAs(w, laterStartTime, 11)
+	r.refreshNodes(r.clock)
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	if n := r.client.startCount(); n != 1 || r.client.starts[0].StartTime != laterStartTime {
+		t.Errorf("%d starts, %+v", n, r.client.starts)
+	}
+}
+
+// Guards against a task that waits, and against a worker that gets further starts, after a start was not sent because its
+// incarnation is gone.
+func TestStartForIncarnationThatIsGoneIsPlacedAgain(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.client.err = &workers.RefusedError{Worker: w.id(), Reason: workers.ReasonRestarted}
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	if len(w.attempts) != 0 || w.fenced || w.polling || w.nextPoll != r.clock {
+		t.Fatalf("%d attempts, fenced %v, next poll in %v", len(w.attempts), w.fenced, w.nextPoll-r.clock)
+	}
+	r.client.err = nil
+	other := r.addWorker("other", 1000)
+	r.scheduleAndCommit()
+	if a := r.onlyAttempt(other); a.phase != phaseRunning || a.number != 2 {
+		t.Errorf("attempt %d in phase %d", a.number, a.phase)
+	}
+}
+
+// Guards against a task that waits for the response to a start command that went to an incarnation that is gone.
+func TestOpenStartForIncarnationThatIsGoneDelaysNothing(t *testing.T) {
+	r, client, w := newDelayedRig(t)
+	r.submit("a", oneStep(1, 100))
+	client.setDelaying(true)
+	r.scheduleAndCommit()
+	client.setDelaying(false)
+	r.client.err = &workers.RefusedError{Worker: w.id(), Reason: workers.ReasonRestarted}
+	r.advanceClock(hedgeAfter)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+	if len(w.attempts) != 0 {
+		t.Error("not lost although the hedged start has shown that the incarnation is gone")
+	}
+}
+
+// Guards against a start on an incarnation of a worker that its task was not placed on, which may have other capacity, other
+// labels and no use for the ticket: the worker started again while the attempt was recorded.
+func TestAttemptStartsOnTheIncarnationItWasPlacedOn(t *testing.T) {
+	for name, hedged := range map[string]bool{"first start": false, "hedged start": true} {
+		t.Run(name, func(t *testing.T) {
+			r, client, w := newDelayedRig(t)
+			r.submit("a", oneStep(1, 100))
+			starts := 0
+			if hedged {
+				client.setDelaying(true)
+				r.scheduleAndCommit()
+				client.setDelaying(false)
+				starts = r.client.startCount()
+			} else {
+				r.Term.schedule(r.clock)
+			}
+			r.pollAs(w, laterStartTime, 10)
+			r.advanceClock(hedgeAfter)
+			r.retryCommands(r.clock)
+			r.commitAll()
+			if n := r.client.startCount() - starts; n != 0 {
+				t.Errorf("%d starts on the later incarnation", n)
+			}
+			if len(w.attempts) != 0 {
+				t.Error("not lost")
+			}
+		})
+	}
+}
+
+// Guards against a start whose lease has expired before it arrives, as the clock of an idle worker was read long ago.
+func TestClockOfIdleWorkerIsReadAgain(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.Term.poll(r.clock)
+	r.handleEvents()
+	if n := len(r.client.polls); n != 0 {
+		t.Fatalf("%d polls of an idle worker", n)
+	}
+	r.advanceClock(clockReadInterval + time.Millisecond)
+	r.commitAll()
+	r.Term.poll(r.clock)
+	r.handleEvents()
+	if n := len(r.client.polls); n != 1 || w.clockAt != r.clock {
+		t.Errorf("%d polls, clock read %v ago", n, r.clock-w.clockAt)
+	}
+}
--- a/execution/model.go
+++ b/execution/model.go
@@ -2,10 +2,11 @@
 // reconciles it with what the workers report, places tasks, sends commands to workers and records the outcome. A single
 // control goroutine owns the state; other goroutines make the calls and post their results to it as events.
 //
-// Three rules prevent work from being lost or done twice. An attempt is recorded before its start command is sent. A
+// Four rules prevent work from being lost or done twice. An attempt is recorded before its start command is sent. A
 // termination is recorded before it is acknowledged, that is, before the worker may discard it. A task gets its next
 // attempt only after the worker has reported the last one as terminated, or has answered a poll that rules it out (see
-// taskAttempt.ruledOutBy), or after every attempt lease granted for it has expired.
+// taskAttempt.ruledOutBy), or after every attempt lease granted for it has expired. A start command, whose lease expiry is by
+// the clock of one incarnation of a worker, is sent to that incarnation only, so that a later term knows when it expires.
 package execution
 
 import (
@@ -37,7 +38,10 @@
 	task   *task
 	number int
 	worker *worker
-	phase  phase
+	// startTime is the start time of the incarnation of the worker that the attempt was placed on. All start commands are for
+	// that one.
+	startTime int64
+	phase     phase
 	// recordSequence is the change sequence number of the job with which the attempt was created. The start command is
 	// sent once that change is stored.
 	recordSequence uint64
@@ -281,9 +285,9 @@
 
 func (w *worker) id() workers.ID { return w.node.Registration.ID }
 
-// clockNow estimates the worker's clock. The estimate is ahead of that clock by at most the clock drift since clockAt.
-func (w *worker) clockNow(now time.Duration) int64 {
-	return w.clock + (now - w.clockAt).Milliseconds()
+// leastClock returns the least value that the worker's clock can have now.
+func (w *worker) leastClock(now time.Duration) int64 {
+	return w.clock + time.Duration(float64(now-w.clockAt)/maxClockDriftFactor).Milliseconds()
 }
 
 // noteClock records the clock that a worker has reported; 0 means that it has reported none.
@@ -306,15 +310,22 @@
 // leaseExpiryMargin is added to the time at which an attempt lease is taken to have expired.
 const leaseExpiryMargin = 60 * time.Millisecond
 
-// noteLeaseGrant notes that an attempt lease of the given duration is about to be granted to attempts on the worker.
+// leaseExpiry returns when an attempt lease that is granted to a worker now is to expire, on the worker's clock. It is reckoned
+// from the least value of that clock: however long ago that was read, the lease ends within its duration and the drift of the
+// clock, which is what the next term assumes (see Term.inheritedLeaseExpiry).
+func (t *Term) leaseExpiry(w *worker, now time.Duration) int64 {
+	return w.leastClock(now) + t.opts.AttemptLeaseDuration.Milliseconds()
+}
+
+// noteLeaseGrant notes that an attempt lease that ends at leaseExpiry is about to be granted to attempts on the worker.
 func (w *worker) noteLeaseGrant(now, duration time.Duration) {
-	age := now - w.clockAt
-	expiry := w.clockAt + time.Duration(float64(age+duration)*maxClockDriftFactor) + leaseExpiryMargin
+	expiry := now + time.Duration(float64(duration)*maxClockDriftFactor) + leaseExpiryMargin
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
-// openCommandTime bounds how long a command may be under way, through a carrier or not, before it is given up.
-const openCommandTime = 1500 * time.Millisecond
+// openCommandTime bounds how long a command may be under way, through a carrier or not, before it is given up: a start may
+// first wait for the answer which incarnation its connection reaches.
+const openCommandTime = 2500 * time.Millisecond
 
 // noteForeignLeases notes that start commands with lease expiries by the clock of an earlier incarnation may have reached the
 // present one, whose clock is another: it may have granted leases up to the limit of workers.
@@ -323,7 +334,16 @@
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
+// The lease of a start is shorter by the drift that the worker's clock may have had since it was read, and has to last until the
+// next poll renews it. So the clock of an idle worker is read again after clockReadInterval, and a worker whose clock was
+// read longer than maxClockAge ago gets nothing.
+const (
+	clockReadInterval = time.Minute
+	maxClockAge       = 90 * time.Second
+)
+
 // needsPolling reports whether the worker has to be polled.
-func (w *worker) needsPolling() bool {
-	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo
+func (w *worker) needsPolling(now time.Duration) bool {
+	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo ||
+		now-w.clockAt > clockReadInterval
 }
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -26,7 +26,7 @@
 			t.hedgePoll(w, now)
 			continue
 		}
-		if w.polling || now < w.nextPoll || w.node.Registration.Addr == "" || !w.needsPolling() {
+		if w.polling || now < w.nextPoll || w.node.Registration.Addr == "" || !w.needsPolling(now) {
 			continue
 		}
 		if !w.registered && !w.fenced && w.pollFailures > 0 && len(w.attempts) == 0 {
@@ -108,7 +108,7 @@
 	// An unresponsive worker is granted no further attempt lease, so that the last one granted expires.
 	if w.clockAt > 0 && len(w.attempts) > 0 && w.pollFailures == 0 {
 		w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
-		request.LeaseExpiry = w.clockNow(now) + t.opts.AttemptLeaseDuration.Milliseconds()
+		request.LeaseExpiry = t.leaseExpiry(w, now)
 	}
 	return request
 }
