Set the Retry-After header by one function

relay and platform each had the value for refused requests as a constant, which neither may import from the other, and gateway and operator each rounded a delay up to whole seconds. Package response, which relay used already, has the name of the header, the default and the rounding now.

Tests of response, relay, platform, gateway and operator passed with the race detector; vet and staticcheck passed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"bronzehook/dispatch"
 	"bronzehook/fault"
 	"bronzehook/logging"
+	"bronzehook/response"
 )
 
 // reasonNone is the reason that is reported for an answered request.
@@ -111,16 +111,14 @@
 	return ""
 }
 
-// defaultRetryAfter is sent if a request did not run and may be sent again, and no better time is known.
-const defaultRetryAfter = time.Second
-
+// retryAfter returns the delay that a response tells the caller to wait before a retry, or 0 if it names none.
 func retryAfter(d fault.Description, outcome api.Outcome) time.Duration {
 	if d.RetryAfter > 0 || outcome != api.NotRun {
 		return d.RetryAfter
 	}
 	switch d.Status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadGateway:
-		return defaultRetryAfter
+		return response.DefaultRetryAfter
 	}
 	return 0
 }
@@ -134,7 +132,7 @@
 	header.Set(api.HeaderReason, string(d.Code))
 	header.Set("Content-Type", "application/json")
 	if retry := retryAfter(d, outcome); retry > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+		response.SetRetryAfter(header, retry)
 	}
 	w.WriteHeader(d.Status)
 	_ = json.NewEncoder(w).Encode(failureBody{Outcome: outcome, Reason: d.Code, Detail: detailOf(err)})
--- a/operator/respond.go
+++ b/operator/respond.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
-	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,6 +10,7 @@
 	"bronzehook/config/rollout"
 	"bronzehook/fault"
 	"bronzehook/logging"
+	"bronzehook/response"
 )
 
 const contentJSON = "application/json"
@@ -46,7 +45,7 @@
 		body.Message = "internal error; see the log of the instance"
 	}
 	if d.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(d.RetryAfter.Seconds()))))
+		response.SetRetryAfter(w.Header(), d.RetryAfter)
 	}
 	s.writeJSON(w, d.Status, body)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -170,7 +170,7 @@
 	r.logger.Info().Str(logging.KeyRequest, path.Base(req.URL.Path)).Str("method", req.Method).
 		Str("relayed_by", req.Header.Get(HeaderRelayed)).Uint64(logging.KeyRevision, r.configuration.Version()).
 		Uint64("sender_revision", versionOf(req.Header)).Msg("request not served, configuration is outdated")
-	w.Header().Set(headerRetryAfter, retryAfterSeconds)
+	response.SetRetryAfter(w.Header(), response.DefaultRetryAfter)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -217,7 +217,7 @@
 			return got
 		case err != nil && !neverSent(err):
 			local.Status = http.StatusGatewayTimeout
-			local.Header().Del(headerRetryAfter)
+			local.Header().Del(response.HeaderRetryAfter)
 		case err == nil && got.Status == http.StatusGatewayTimeout:
 			local = got
 		}
@@ -262,12 +262,6 @@
 	return resultServed
 }
 
-const (
-	headerRetryAfter = "Retry-After"
-	// retryAfterSeconds is the Retry-After value of refused requests.
-	retryAfterSeconds = "1"
-)
-
 // candidates returns the peers to try in this order: the last one that served a request, then others at random.
 func (r *Relay) candidates() []Peer {
 	r.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,6 +13,8 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"bronzehook/response"
 )
 
 const headerLeft = "X-Left-Ms"
@@ -36,7 +38,7 @@
 func status(code int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if code == http.StatusServiceUnavailable {
-			w.Header().Set(headerRetryAfter, "1")
+			w.Header().Set(response.HeaderRetryAfter, "1")
 		}
 		w.WriteHeader(code)
 	}
@@ -137,7 +139,7 @@
 		if got.Code != c.want {
 			t.Errorf("%s: status %d, want %d", name, got.Code, c.want)
 		}
-		if after := got.Header().Get(headerRetryAfter); (after != "") != (c.want == 503) {
+		if after := got.Header().Get(response.HeaderRetryAfter); (after != "") != (c.want == 503) {
 			t.Errorf("%s: status %d, Retry-After %q", name, got.Code, after)
 		}
 	}
@@ -232,7 +234,7 @@
 		if got.Code != c.want || current.noted != c.wantVersion {
 			t.Errorf("%s: status %d, want %d; noted version %d, want %d", name, got.Code, c.want, current.noted, c.wantVersion)
 		}
-		if after := got.Header().Get(headerRetryAfter); (after != "") != (c.want == 503) {
+		if after := got.Header().Get(response.HeaderRetryAfter); (after != "") != (c.want == 503) {
 			t.Errorf("%s: status %d, Retry-After %q", name, got.Code, after)
 		}
 		if version := got.Header().Get(HeaderVersion); version != "" {
@@ -274,8 +276,8 @@
 	if got := post(newRelayAt(current, serve(t, statusAt(3, 404))), local); got.Code != http.StatusNotFound {
 		t.Errorf("status %d, want that of the peer", got.Code)
 	}
-	if got := post(newRelayAt(current), local); got.Code != http.StatusServiceUnavailable || got.Header().Get(headerRetryAfter) == "" {
-		t.Errorf("without peers: status %d, Retry-After %q", got.Code, got.Header().Get(headerRetryAfter))
+	if got := post(newRelayAt(current), local); got.Code != http.StatusServiceUnavailable || got.Header().Get(response.HeaderRetryAfter) == "" {
+		t.Errorf("without peers: status %d, Retry-After %q", got.Code, got.Header().Get(response.HeaderRetryAfter))
 	}
 	if served != 0 {
 		t.Errorf("served %d times", served)
--- a/response/response.go
+++ b/response/response.go
@@ -1,4 +1,5 @@
-// Package response buffers HTTP responses in memory until it is decided whether they are sent.
+// Package response buffers HTTP responses in memory until it is decided whether they are sent, and sets the header that
+// tells callers when to send a refused request again.
 package response
 
 import (
