Use one generic heap in the queue

entryHeap and shapeHeap had the same methods but for their element type. Both are an indexedHeap now and add their order. A comment named an event kind that does not exist.

Tests of scheduler passed with the race detector; vet and staticcheck passed.

--- a/scheduler/queue/heaps.go
+++ b/scheduler/queue/heaps.go
@@ -1,66 +1,55 @@
 package queue
 
-// entryHeap is a heap of entries ordered by rank.
-type entryHeap struct{ entries []*entry }
+// indexed is an element of a heap that records its position in it.
+type indexed interface{ setHeapIndex(index int) }
+
+func (e *entry) setHeapIndex(index int) { e.heapIndex = index }
+func (s *shape) setHeapIndex(index int) { s.heapIndex = index }
+
+// indexedHeap implements heap.Interface except for Less.
+type indexedHeap[T indexed] struct{ items []T }
+
+func (h *indexedHeap[T]) Len() int { return len(h.items) }
 
-func (h *entryHeap) Len() int           { return len(h.entries) }
-func (h *entryHeap) Less(i, j int) bool { return h.entries[i].before(h.entries[j]) }
-func (h *entryHeap) Swap(i, j int) {
-	h.entries[i], h.entries[j] = h.entries[j], h.entries[i]
-	h.entries[i].heapIndex = i
-	h.entries[j].heapIndex = j
+func (h *indexedHeap[T]) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].setHeapIndex(i)
+	h.items[j].setHeapIndex(j)
 }
 
-func (h *entryHeap) Push(x any) {
-	e := x.(*entry)
-	e.heapIndex = len(h.entries)
-	h.entries = append(h.entries, e)
+func (h *indexedHeap[T]) Push(x any) {
+	item := x.(T)
+	item.setHeapIndex(len(h.items))
+	h.items = append(h.items, item)
 }
 
-func (h *entryHeap) Pop() any {
-	last := len(h.entries) - 1
-	e := h.entries[last]
-	h.entries[last] = nil
-	h.entries = h.entries[:last]
-	return e
+func (h *indexedHeap[T]) Pop() any {
+	last := len(h.items) - 1
+	item := h.items[last]
+	clear(h.items[last:])
+	h.items = h.items[:last]
+	return item
 }
 
+// entryHeap is a heap of entries ordered by rank.
+type entryHeap struct{ indexedHeap[*entry] }
+
+func (h *entryHeap) Less(i, j int) bool { return h.items[i].before(h.items[j]) }
+
 // delayHeap is a heap of delayed entries ordered by retry time.
-type delayHeap struct{ entryHeap }
+type delayHeap struct{ indexedHeap[*entry] }
 
-func (h *delayHeap) Less(i, j int) bool { return h.entries[i].retryAt.Before(h.entries[j].retryAt) }
+func (h *delayHeap) Less(i, j int) bool { return h.items[i].retryAt.Before(h.items[j].retryAt) }
 
 // shapeHeap is a heap of shapes, ordered by retry time if byRetryTime is set and by placement order otherwise.
 type shapeHeap struct {
-	shapes      []*shape
+	indexedHeap[*shape]
 	byRetryTime bool
 }
 
-func (h *shapeHeap) Len() int { return len(h.shapes) }
-
 func (h *shapeHeap) Less(i, j int) bool {
 	if h.byRetryTime {
-		return h.shapes[i].retryAt.Before(h.shapes[j].retryAt)
+		return h.items[i].retryAt.Before(h.items[j].retryAt)
 	}
-	return h.shapes[i].before(h.shapes[j])
-}
-
-func (h *shapeHeap) Swap(i, j int) {
-	h.shapes[i], h.shapes[j] = h.shapes[j], h.shapes[i]
-	h.shapes[i].heapIndex = i
-	h.shapes[j].heapIndex = j
-}
-
-func (h *shapeHeap) Push(x any) {
-	s := x.(*shape)
-	s.heapIndex = len(h.shapes)
-	h.shapes = append(h.shapes, s)
-}
-
-func (h *shapeHeap) Pop() any {
-	last := len(h.shapes) - 1
-	s := h.shapes[last]
-	h.shapes[last] = nil
-	h.shapes = h.shapes[:last]
-	return s
+	return h.items[i].before(h.items[j])
 }
--- a/scheduler/queue/item.go
+++ b/scheduler/queue/item.go
@@ -90,7 +90,7 @@
 	// Region and Free describe the worker of an EventCapacityFreed: its region and its total free capacity.
 	Region string
 	Free   api.Resources
-	// Team is the name of the team of an EventTeam.
+	// Team is the name of the team of an EventTeamQuota.
 	Team string
 }
 
@@ -163,13 +163,13 @@
 	retryDelay time.Duration
 }
 
-func (s *shape) empty() bool { return len(s.onTime.entries) == 0 && len(s.late.entries) == 0 }
+func (s *shape) empty() bool { return len(s.onTime.items) == 0 && len(s.late.items) == 0 }
 
 func (s *shape) head() *entry {
-	if len(s.onTime.entries) > 0 {
-		return s.onTime.entries[0]
+	if len(s.onTime.items) > 0 {
+		return s.onTime.items[0]
 	}
-	return s.late.entries[0]
+	return s.late.items[0]
 }
 
 // before orders shapes by class and then by their heads. Within a class, shapes with only late entries come last.
@@ -177,7 +177,7 @@
 	if s.class != o.class {
 		return s.class < o.class
 	}
-	sLate, oLate := len(s.onTime.entries) == 0, len(o.onTime.entries) == 0
+	sLate, oLate := len(s.onTime.items) == 0, len(o.onTime.items) == 0
 	if sLate != oLate {
 		return oLate
 	}
--- a/scheduler/queue/queue.go
+++ b/scheduler/queue/queue.go
@@ -216,8 +216,8 @@
 	q.applyEvents(now)
 	q.activateDue(now)
 	var items []Item
-	for len(items) < limit && len(q.active.shapes) > 0 {
-		s := q.active.shapes[0]
+	for len(items) < limit && len(q.active.items) > 0 {
+		s := q.active.items[0]
 		e := s.head()
 		if e.state == stateOnTime && e.lateFrom < now.UnixNano() {
 			q.detach(e)
--- a/scheduler/queue/shapes.go
+++ b/scheduler/queue/shapes.go
@@ -88,7 +88,7 @@
 
 // removeShape removes a shape from its heap without comparing it, because an empty shape has no head to compare.
 func (q *Queue) removeShape(h *shapeHeap, s *shape) {
-	last := len(h.shapes) - 1
+	last := len(h.items) - 1
 	i := s.heapIndex
 	if i != last {
 		h.Swap(i, last)
@@ -130,11 +130,11 @@
 
 // activateDue makes the shapes and entries available whose retry time has come.
 func (q *Queue) activateDue(now time.Time) {
-	for len(q.backedOff.shapes) > 0 && !q.backedOff.shapes[0].retryAt.After(now) {
-		q.activate(q.backedOff.shapes[0])
+	for len(q.backedOff.items) > 0 && !q.backedOff.items[0].retryAt.After(now) {
+		q.activate(q.backedOff.items[0])
 	}
-	for len(q.delayed.entries) > 0 && !q.delayed.entries[0].retryAt.After(now) {
-		e := q.delayed.entries[0]
+	for len(q.delayed.items) > 0 && !q.delayed.items[0].retryAt.After(now) {
+		e := q.delayed.items[0]
 		q.detach(e)
 		q.enqueue(e)
 	}
@@ -154,7 +154,7 @@
 		return
 	}
 	var affected []*shape
-	for _, s := range q.backedOff.shapes {
+	for _, s := range q.backedOff.items {
 		if q.eventsHelp(s) {
 			affected = append(affected, s)
 		}
