Base the three fakes of the table on one in-memory table

backend/fake, config/rollout/tabletest and membership/platformfake each stored rows, checked conditions and remembered results. They add their faults to backend/memory now, which is the table of backend/fake, moved. Two of them become as strict as it was: a row that is deleted and written again never repeats a version, and a transaction has to name its operation. No test was changed.

Tests of backend, config, membership, ownership, coordinator, operator, audit, instance and drain passed with the race detector; vet and staticcheck passed.

--- a/backend/fake/platform.go
+++ b/backend/fake/platform.go
@@ -14,6 +14,7 @@
 	"bronzehook/api"
 	"bronzehook/backend"
 	"bronzehook/backend/httpbackend"
+	"bronzehook/backend/memory"
 	"bronzehook/fault"
 )
 
@@ -43,7 +44,7 @@
 	p := &Platform{
 		tableFaults: newFaultInjector(clock), objectFaults: newFaultInjector(clock), directory: newDirectory(clock),
 	}
-	p.table = &faultyTable{rows: newRowTable(), faults: p.tableFaults}
+	p.table = &faultyTable{rows: memory.New(), faults: p.tableFaults}
 	p.objects = newFaultyObjects(p.objectFaults)
 	return p
 }
--- a/config/rollout/tabletest/table.go
+++ b/config/rollout/tabletest/table.go
@@ -5,19 +5,19 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"bronzehook/backend"
+	"bronzehook/backend/memory"
 	"bronzehook/fault"
 )
 
 // Table is an in-memory table. It has to be created with New.
 type Table struct {
+	rows *memory.Table
+
 	mu      sync.Mutex
-	rows    map[string]backend.Row
-	results map[string]backend.CommitResult
 	log     []backend.Txn
 	faults  Faults
 	reads   int
@@ -34,9 +34,7 @@
 }
 
 // New returns an empty table.
-func New() *Table {
-	return &Table{rows: map[string]backend.Row{}, results: map[string]backend.CommitResult{}}
-}
+func New() *Table { return &Table{rows: memory.New()} }
 
 // SetFaults replaces the faults.
 func (t *Table) SetFaults(f Faults) {
@@ -46,11 +44,7 @@
 }
 
 // DiscardResults discards the results of earlier operations, so that their repetition is not recognised. Rows stay.
-func (t *Table) DiscardResults() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.results = map[string]backend.CommitResult{}
-}
+func (t *Table) DiscardResults() { t.rows.DiscardResults() }
 
 // Counts returns the numbers of reads and commits that were requested, including failed ones.
 func (t *Table) Counts() (reads, commits int) {
@@ -72,11 +66,7 @@
 		return backend.Row{}, err
 	}
 	defer t.mu.Unlock()
-	row, ok := t.rows[key]
-	if !ok {
-		return backend.Row{}, fault.New(fault.CodeNotFound, "table get", "%s", key)
-	}
-	return row, nil
+	return t.rows.Get(key)
 }
 
 // List implements backend.Table.
@@ -85,14 +75,7 @@
 		return nil, err
 	}
 	defer t.mu.Unlock()
-	var rows []backend.Row
-	for key, row := range t.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows, nil
+	return t.rows.List(prefix), nil
 }
 
 // Commit implements backend.Table.
@@ -101,15 +84,11 @@
 		return backend.CommitResult{}, err
 	}
 	defer t.mu.Unlock()
-	if result, repeated := t.results[txn.OpID]; repeated {
-		return result, nil
+	result, repeated, err := t.rows.Commit(txn)
+	if err != nil || repeated {
+		return result, err
 	}
-	for _, c := range txn.Conditions {
-		if t.rows[c.Key].Version != c.Version {
-			return backend.CommitResult{}, fault.New(fault.CodeConflict, "table commit", "%s has version %d", c.Key, t.rows[c.Key].Version)
-		}
-	}
-	result := t.apply(txn)
+	t.log = append(t.log, txn)
 	if t.faults.LostReplies > 0 {
 		t.faults.LostReplies--
 		return backend.CommitResult{}, fault.New(fault.CodeStoreUnavailable, "table commit", "reply lost")
@@ -117,23 +96,6 @@
 	return result, nil
 }
 
-func (t *Table) apply(txn backend.Txn) backend.CommitResult {
-	result := backend.CommitResult{Versions: map[string]uint64{}}
-	for _, w := range txn.Writes {
-		if w.Delete {
-			delete(t.rows, w.Key)
-			result.Versions[w.Key] = 0
-			continue
-		}
-		version := t.rows[w.Key].Version + 1
-		t.rows[w.Key] = backend.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: version, OpID: txn.OpID}
-		result.Versions[w.Key] = version
-	}
-	t.results[txn.OpID] = result
-	t.log = append(t.log, txn)
-	return result
-}
-
 // beginCall counts a call and injects the faults. If it returns no error, the caller holds the lock.
 func (t *Table) beginCall(ctx context.Context, counter *int) error {
 	t.mu.Lock()
--- a/membership/platformfake/fake.go
+++ b/membership/platformfake/fake.go
@@ -4,18 +4,17 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 
 	"bronzehook/backend"
+	"bronzehook/backend/memory"
 	"bronzehook/fault"
 )
 
 // Table is an in-memory backend.Table with injected faults. Its exported fields may be changed only between calls.
 type Table struct {
-	mu      sync.Mutex
-	rows    map[string]backend.Row
-	results map[string]backend.CommitResult
+	mu   sync.Mutex
+	rows *memory.Table
 	// Down makes all calls fail.
 	Down bool
 	// LoseReplies is the number of next commits that take effect but fail, as if their response was lost.
@@ -30,9 +29,7 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{rows: map[string]backend.Row{}, results: map[string]backend.CommitResult{}}
-}
+func NewTable() *Table { return &Table{rows: memory.New()} }
 
 func (f *Table) unavailable() error {
 	return fault.New(fault.CodeStoreUnavailable, "fake table", "store down or response lost")
@@ -46,11 +43,7 @@
 	if f.Down {
 		return backend.Row{}, f.unavailable()
 	}
-	row, ok := f.rows[key]
-	if !ok {
-		return row, fault.New(fault.CodeNotFound, "fake table", "%s", key)
-	}
-	return row, nil
+	return f.rows.Get(key)
 }
 
 // List implements backend.Table.
@@ -61,14 +54,7 @@
 	if f.Down {
 		return nil, f.unavailable()
 	}
-	var rows []backend.Row
-	for key, row := range f.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b backend.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows, nil
+	return f.rows.List(prefix), nil
 }
 
 // Commit implements backend.Table.
@@ -79,29 +65,15 @@
 	if f.Down {
 		return backend.CommitResult{}, f.unavailable()
 	}
-	if result, ok := f.results[txn.OpID]; ok {
+	result, repeated, err := f.rows.Commit(txn)
+	if err != nil {
+		return result, err
+	}
+	if repeated {
 		f.Replayed++
 		return result, nil
 	}
-	for _, c := range txn.Conditions {
-		if f.rows[c.Key].Version != c.Version {
-			return backend.CommitResult{}, fault.New(fault.CodeConflict, "fake table", "%s", c.Key)
-		}
-	}
-	result := backend.CommitResult{Versions: map[string]uint64{}}
-	for _, w := range txn.Writes {
-		version := f.rows[w.Key].Version + 1
-		f.rows[w.Key] = backend.Row{Key: w.Key, Value: w.Value, Version: version, OpID: txn.OpID}
-		result.Versions[w.Key] = version
-		if f.OnWrite != nil {
-			f.OnWrite(f.rows[w.Key])
-		}
-		if w.Delete {
-			delete(f.rows, w.Key)
-			result.Versions[w.Key] = 0
-		}
-	}
-	f.results[txn.OpID] = result
+	f.notify(txn, result)
 	if f.LoseReplies > 0 {
 		f.LoseReplies--
 		return backend.CommitResult{}, f.unavailable()
@@ -109,6 +81,16 @@
 	return result, nil
 }
 
+// notify passes the rows that a transaction has written to OnWrite. A deleted row has version 0.
+func (f *Table) notify(txn backend.Txn, result backend.CommitResult) {
+	if f.OnWrite == nil {
+		return
+	}
+	for _, w := range txn.Writes {
+		f.OnWrite(backend.Row{Key: w.Key, Value: w.Value, Version: result.Versions[w.Key], OpID: txn.OpID})
+	}
+}
+
 // Directory is a backend.Directory that lists Entries.
 type Directory struct {
 	mu      sync.Mutex
