Name heartbeats and incarnations by the terms of the glossary

Rows keep their layout: the lease is encoded by position.

Tests of membership, instance, authority, ownership, leadership, backend/fake and invariant passed with the race detector; vet and staticcheck passed, also for session and entry.

--- a/authority/observer.go
+++ b/authority/observer.go
@@ -61,15 +61,15 @@
 }
 
 // RecordUnresponsiveReport records a report by reporter about subject: at some time not before asOf, the last heartbeat that
-// reporter had received from subject had arrived no later than lastHeard, both on this observer's clock. asOf is the time
-// at which the observer sent a message that reporter had received before it made the report. lastHeard is the arrival
-// time of the report minus the reported age.
-func (o *Observer) RecordUnresponsiveReport(reporter, subject api.InstanceID, lastHeard, asOf time.Duration) {
-	if asOf < lastHeard {
+// reporter had received from subject had arrived no later than lastHeartbeat, both on this observer's clock. asOf is the
+// time at which the observer sent a message that reporter had received before it made the report. lastHeartbeat is the
+// arrival time of the report minus the reported age.
+func (o *Observer) RecordUnresponsiveReport(reporter, subject api.InstanceID, lastHeartbeat, asOf time.Duration) {
+	if asOf < lastHeartbeat {
 		delete(o.reports, reportKey{reporter, subject})
 		return
 	}
-	o.reports[reportKey{reporter, subject}] = interval{from: lastHeard, to: asOf}
+	o.reports[reportKey{reporter, subject}] = interval{from: lastHeartbeat, to: asOf}
 }
 
 // Version returns the version of the session row that an expiry decision about an instance refers to.
--- a/backend/fake/controlhttp.go
+++ b/backend/fake/controlhttp.go
@@ -38,7 +38,7 @@
 	r.Put(PathWorkerFaults, putHandler(w.SetFaults))
 	r.Put(PathWorkerLeaving, putHandler(w.SetLeaving))
 	r.Put(PathWorkerCrash, func(http.ResponseWriter, *http.Request) { w.Close() })
-	r.Get(PathWorkerEventLog, w.serveJournal)
+	r.Get(PathWorkerEventLog, w.serveEventLog)
 	r.Group(func(r chi.Router) {
 		r.Use(w.injectFaults)
 		r.Post(httpbackend.PathFence, commandHandler(w.handleFence))
@@ -85,7 +85,7 @@
 	return httpbackend.CheckpointResponse{Name: name}, err
 }
 
-func (w *Worker) serveJournal(out http.ResponseWriter, _ *http.Request) {
+func (w *Worker) serveEventLog(out http.ResponseWriter, _ *http.Request) {
 	log := w.eventLog
 	respond(out, EventLogResponse{
 		Executions: log.Executions(), Attempts: log.Attempts(), Refusals: log.Refusals(), Peaks: log.Peaks(), Dropped: log.Dropped(),
--- a/instance/cluster.go
+++ b/instance/cluster.go
@@ -203,7 +203,7 @@
 func (i *Instance) livePeers() []membership.Member {
 	var live []membership.Member
 	for _, member := range i.members.View().Members {
-		if member.Status == membership.StatusLive && member.Heard {
+		if member.Status == membership.StatusLive && member.HeartbeatReceived {
 			live = append(live, member)
 		}
 	}
--- a/instance/inputs.go
+++ b/instance/inputs.go
@@ -37,5 +37,5 @@
 
 // equalForRouting compares the fields of a member that a view uses.
 func equalForRouting(a, b membership.Member) bool {
-	return a.Status == b.Status && a.Heard == b.Heard && a.Instance == b.Instance
+	return a.Status == b.Status && a.HeartbeatReceived == b.HeartbeatReceived && a.Instance == b.Instance
 }
--- a/instance/inputs_test.go
+++ b/instance/inputs_test.go
@@ -15,7 +15,7 @@
 		drained: map[api.WorkerID]bool{},
 		workers: []api.Worker{{ID: "w1", Slots: 8}},
 		members: &membership.View{
-			Members: map[api.InstanceID]membership.Member{"i2": {Status: membership.StatusLive, Heard: true}},
+			Members: map[api.InstanceID]membership.Member{"i2": {Status: membership.StatusLive, HeartbeatReceived: true}},
 		},
 	}
 }
@@ -34,7 +34,7 @@
 	}{
 		{"only the ages of heartbeats and rows have changed", func(in *viewInputs) {
 			in.members.At++
-			change(*in, "i2", func(m *membership.Member) { m.LastHeard++; m.RowVersion++ })
+			change(*in, "i2", func(m *membership.Member) { m.LastHeartbeat++; m.RowVersion++ })
 		}, true},
 		{"a worker leaves", func(in *viewInputs) { in.workers[0].Leaving = true }, false},
 		{"a worker has restarted at another address", func(in *viewInputs) { in.workers[0].Addr = "a" }, false},
@@ -46,7 +46,7 @@
 			change(*in, "i2", func(m *membership.Member) { m.Status = membership.StatusSuspect })
 		}, false},
 		{"no heartbeat was received from an instance", func(in *viewInputs) {
-			change(*in, "i2", func(m *membership.Member) { m.Heard = false })
+			change(*in, "i2", func(m *membership.Member) { m.HeartbeatReceived = false })
 		}, false},
 		{"an instance has moved", func(in *viewInputs) {
 			change(*in, "i2", func(m *membership.Member) { m.Instance.Location.Region = "surrey" })
--- a/instance/messages.go
+++ b/instance/messages.go
@@ -192,7 +192,7 @@
 		if member.Instance.Leaving {
 			continue
 		}
-		if !member.Heard && member.Listed {
+		if !member.HeartbeatReceived && member.Listed {
 			return best, fault.New(fault.CodeNotReady, op, "no heartbeat received from %s, which is in the directory", id)
 		}
 		bundle, err := call[rollout.Bundle](ctx, s.Instance, id, peer.KindConfigPull, bundlePull{})
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -113,21 +113,21 @@
 
 // checkWorker checks that the capacity of a worker was not exceeded, and that no idempotency key was executed twice on
 // any workers.
-func (c *checker) checkWorker(w api.Worker, journal *fake.EventLog) {
-	if dropped := journal.Dropped(); dropped != 0 {
+func (c *checker) checkWorker(w api.Worker, eventLog *fake.EventLog) {
+	if dropped := eventLog.Dropped(); dropped != 0 {
 		c.add(RuleCompletion, "%s dropped %d event log entries", w.ID, dropped)
 	}
-	peaks := journal.Peaks()
+	peaks := eventLog.Peaks()
 	if peaks.Executing > w.Slots || peaks.Open > w.Connections || !peaks.Reserved.Fits(w.Capacity) {
 		c.add(RuleCapacity, "%s with %d slots, %d connections and capacity %v reached %+v", w.ID, w.Slots, w.Connections,
 			w.Capacity, peaks)
 	}
-	for _, r := range journal.Refusals() {
+	for _, r := range eventLog.Refusals() {
 		if r.Code == fault.CodeOverloaded {
 			c.add(RuleCapacity, "%s received more requests than its connection limit: %+v", w.ID, r)
 		}
 	}
-	for _, e := range journal.Executions() {
+	for _, e := range eventLog.Executions() {
 		if e.Key == "" {
 			continue
 		}
--- a/leadership/fuzz_test.go
+++ b/leadership/fuzz_test.go
@@ -8,7 +8,7 @@
 
 // Guards against a row of another writer in the tables of leadership that makes a reader panic.
 func FuzzDecodeRows(f *testing.F) {
-	lease := Lease{Holder: "a", Life: 1, Epoch: 2, Renewals: 3, Sent: 4, Valid: 800}
+	lease := Lease{Holder: "a", Incarnation: 1, Epoch: 2, Renewals: 3, Sent: 4, Valid: 800}
 	member, err := cbor.Marshal(&Member{Name: "a", CPUShare: 0.8, Addr: "10.0.0.1:80"})
 	if err != nil {
 		f.Fatal(err)
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -45,9 +45,9 @@
 	_ struct{} `cbor:",toarray"`
 	// Holder names the leader.
 	Holder string
-	// Life is the incarnation of the leader. It distinguishes the processes that run under one instance name.
-	Life  int64
-	Epoch uint64
+	// Incarnation distinguishes the processes that run under one instance name.
+	Incarnation int64
+	Epoch       uint64
 	// Released is set by a leader that has released leadership and sends no more commands.
 	Released bool
 	// Renewals counts the renewals, so that each one changes the row.
@@ -71,7 +71,7 @@
 		return errors.WithStack(&LostError{Leader: "unknown instance (unreadable lease)"})
 	}
 	*l = Lease{}
-	for i, field := range []any{&l.Holder, &l.Life, &l.Epoch, &l.Released, &l.Renewals, &l.Sent, &l.Valid} {
+	for i, field := range []any{&l.Holder, &l.Incarnation, &l.Epoch, &l.Released, &l.Renewals, &l.Sent, &l.Valid} {
 		if i == len(fields) {
 			break
 		}
@@ -209,7 +209,7 @@
 func (c *Candidate) Acquire(ctx context.Context, observation Observation) (*Leader, error) {
 	sentAt := c.clock()
 	c.acquisitions++
-	lease := Lease{Holder: c.name, Life: c.incarnation, Epoch: observation.Lease.Epoch + 1, Renewals: c.acquisitions}
+	lease := Lease{Holder: c.name, Incarnation: c.incarnation, Epoch: observation.Lease.Epoch + 1, Renewals: c.acquisitions}
 	lease.Sent, lease.Valid = observation.clockReading.latestMillis(sentAt), leaseDurationMillis(observation.readLatency)
 	version, err := c.table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: leaseKey, Version: observation.Version}},
@@ -239,7 +239,7 @@
 	if current.Version == 0 || stored.decode(current.Value) != nil {
 		return 0, false
 	}
-	same := stored.Holder == l.Holder && stored.Life == l.Life && stored.Epoch == l.Epoch && stored.Renewals == l.Renewals
+	same := stored.Holder == l.Holder && stored.Incarnation == l.Incarnation && stored.Epoch == l.Epoch && stored.Renewals == l.Renewals
 	return current.Version, same
 }
 
@@ -373,7 +373,7 @@
 			return errors.WithStack(&LostError{Leader: "unknown instance (unreadable lease)"})
 		}
 	}
-	if stored.Holder != l.lease.Holder || stored.Life != l.lease.Life || stored.Epoch != l.lease.Epoch {
+	if stored.Holder != l.lease.Holder || stored.Incarnation != l.lease.Incarnation || stored.Epoch != l.lease.Epoch {
 		l.lost = true
 		return errors.WithStack(&LostError{Epoch: stored.Epoch, Leader: stored.Holder})
 	}
--- a/membership/sender.go
+++ b/membership/sender.go
@@ -86,7 +86,7 @@
 func (s *Service) choosePeers(now time.Duration, limit int) []api.InstanceID {
 	var regionPeers, others []api.InstanceID
 	for id, p := range s.peers {
-		skip := now-max(p.lastHeardAt, p.firstSeen) > unresponsiveAfter && s.tick%unresponsiveTicks != 0
+		skip := now-max(p.lastHeartbeatAt, p.firstSeen) > unresponsiveAfter && s.tick%unresponsiveTicks != 0
 		switch {
 		case s.inFlight[id] || skip || s.instanceOf(id, p).Addr == "":
 		case s.sameRegion(id):
@@ -120,7 +120,7 @@
 	if s.config.EndpointVersion != nil {
 		m.EndpointVersion = s.config.EndpointVersion()
 	}
-	if p.heard {
+	if p.heartbeatReceived {
 		m.EchoSession = uint32(p.session)
 		m.Echo = p.lastHeartbeat.Sent
 	}
@@ -188,7 +188,7 @@
 	if restarted {
 		p.hasEchoed = false
 	}
-	p.session, p.lastHeartbeat, p.heard, p.lastHeardAt = from.Session, m, true, now
+	p.session, p.lastHeartbeat, p.heartbeatReceived, p.lastHeartbeatAt = from.Session, m, true, now
 	if m.Self != nil {
 		p.instance, p.hasDescription = *m.Self, true
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -34,12 +34,12 @@
 	Status  Status
 	// Listed is set while the directory lists the instance.
 	Listed bool
-	// Heard is set once a heartbeat has been received. LastHeard is the time of the last one.
-	Heard           bool
-	LastHeard       time.Duration
-	Revision        uint64
-	EndpointVersion uint64
-	StoreReachable  bool
+	// LastHeartbeat is the time of the last heartbeat; HeartbeatReceived is false before the first one.
+	HeartbeatReceived bool
+	LastHeartbeat     time.Duration
+	Revision          uint64
+	EndpointVersion   uint64
+	StoreReachable    bool
 	// Expired is set while the instance lease has expired by the rule of package authority, and RowExpired while the session
 	// row alone has not changed for the expiry delay, which allows the coordinator unit to be acquired. Both refer to the
 	// session row at RowVersion, which an acquisition must state as a condition.
@@ -94,13 +94,13 @@
 
 // peerState is the state of another instance as known from its heartbeats and its session row.
 type peerState struct {
-	instance       api.Instance
-	hasDescription bool
-	session        uint64
-	lastHeartbeat  heartbeat
-	heard          bool
-	lastHeardAt    time.Duration
-	firstSeen      time.Duration
+	instance          api.Instance
+	hasDescription    bool
+	session           uint64
+	lastHeartbeat     heartbeat
+	heartbeatReceived bool
+	lastHeartbeatAt   time.Duration
+	firstSeen         time.Duration
 	// hasEchoed is set once the peer has echoed a heartbeat of this incarnation, so that it has the description of this
 	// instance.
 	hasEchoed  bool
@@ -147,20 +147,20 @@
 	instance := s.instanceOf(id, p)
 	_, listed := s.listed[id]
 	return Member{
-		Instance:        instance,
-		Session:         p.session,
-		Status:          s.status(p, instance, now),
-		Listed:          listed,
-		Heard:           p.heard,
-		LastHeard:       p.lastHeardAt,
-		Revision:        p.revision(),
-		EndpointVersion: p.lastHeartbeat.EndpointVersion,
-		StoreReachable:  p.lastHeartbeat.Flags&flagStoreReachable != 0,
-		Expired:         s.observer.Expired(id, instance.Location.Region, now),
-		RowExpired:      s.observer.RowExpired(id, now),
-		RowStale:        s.observer.RowStale(id, now),
-		RowVersion:      s.observer.Version(id),
-		RowSession:      p.rowSession,
+		Instance:          instance,
+		Session:           p.session,
+		Status:            s.status(p, instance, now),
+		Listed:            listed,
+		HeartbeatReceived: p.heartbeatReceived,
+		LastHeartbeat:     p.lastHeartbeatAt,
+		Revision:          p.revision(),
+		EndpointVersion:   p.lastHeartbeat.EndpointVersion,
+		StoreReachable:    p.lastHeartbeat.Flags&flagStoreReachable != 0,
+		Expired:           s.observer.Expired(id, instance.Location.Region, now),
+		RowExpired:        s.observer.RowExpired(id, now),
+		RowStale:          s.observer.RowStale(id, now),
+		RowVersion:        s.observer.Version(id),
+		RowSession:        p.rowSession,
 	}
 }
 
@@ -181,8 +181,8 @@
 		return StatusLeaving
 	}
 	since := p.firstSeen
-	if p.heard {
-		since = p.lastHeardAt
+	if p.heartbeatReceived {
+		since = p.lastHeartbeatAt
 	}
 	if now-since > s.suspectAfter() {
 		return StatusSuspect
@@ -201,7 +201,7 @@
 func (s *Service) removeStalePeers(now time.Duration) {
 	for id, p := range s.peers {
 		_, listed := s.listed[id]
-		if !listed && p.rowSession == 0 && now-max(p.lastHeardAt, p.firstSeen) > peerRetention {
+		if !listed && p.rowSession == 0 && now-max(p.lastHeartbeatAt, p.firstSeen) > peerRetention {
 			delete(s.peers, id)
 		}
 	}
--- a/ownership/acquire.go
+++ b/ownership/acquire.go
@@ -66,7 +66,7 @@
 		return true
 	}
 	for _, m := range view.Members {
-		if m.Listed && !m.Instance.Leaving && !(m.Heard && m.StoreReachable) {
+		if m.Listed && !m.Instance.Leaving && !(m.HeartbeatReceived && m.StoreReachable) {
 			return false
 		}
 	}
@@ -107,7 +107,7 @@
 		instances = append(instances, s.config.Self)
 	}
 	for _, m := range view.Members {
-		if m.Status == membership.StatusLive && m.Heard && keep(m) {
+		if m.Status == membership.StatusLive && m.HeartbeatReceived && keep(m) {
 			instances = append(instances, m.Instance)
 		}
 	}
--- a/ownership/fleet_test.go
+++ b/ownership/fleet_test.go
@@ -117,7 +117,7 @@
 				continue
 			}
 			m := membership.Member{
-				Instance: other.self, Session: other.members.session, Status: membership.StatusLive, Listed: true, Heard: true,
+				Instance: other.self, Session: other.members.session, Status: membership.StatusLive, Listed: true, HeartbeatReceived: true,
 				StoreReachable: true, RowSession: other.members.session, RowVersion: f.rowVersions[other.self.ID],
 				Expired: other.leaseExpired, RowExpired: other.leaseExpired,
 			}
