Call free capacity by its name in the index of placement

The index called it room, an earlier word of the glossary, and a predicate of the load margin was worded as a metaphor.

Tests of placement passed with the race detector; vet and staticcheck passed.

--- a/placement/interference.go
+++ b/placement/interference.go
@@ -285,9 +285,9 @@
 	return node.margins
 }
 
-// bearsNoMoreLoad reports whether the load margin of a latency-critical image on the node is known to be used up, so that no
+// loadMarginUsedUp reports whether the load margin of a latency-critical image on the node is known to be used up, so that no
 // best-effort task is admitted.
-func (n *Node) bearsNoMoreLoad() bool {
+func (n *Node) loadMarginUsedUp() bool {
 	return slices.ContainsFunc(n.margins, func(m loadMargin) bool { return m.margin < 0 })
 }
 
--- a/placement/score.go
+++ b/placement/score.go
@@ -13,7 +13,7 @@
 	weightCompatibility     = 5.0
 )
 
-// scoreNode returns the score of a feasible worker for a task; the highest score wins.
+// scoreNode returns the score of a feasible worker for a task; the highest score is chosen.
 func scoreNode(node *Node, request *Request) float64 {
 	step := request.Step
 	score := -weightPenalty * float64(node.Penalty)
--- a/placement/search.go
+++ b/placement/search.go
@@ -12,36 +12,36 @@
 const maxFeasibleNodes = 40
 
 // Index holds the free capacity of the workers in one block of memory, for the searches of one scheduling cycle. On a full fleet
-// nearly all workers refuse a task for want of capacity, and the index tells so without looking at their accounts. It
-// may overstate free capacity, as accounts are changed beside it.
+// nearly all workers refuse a task for want of capacity, and the index shows this without a read of their accounts. It may
+// overstate free capacity, because accounts change after a Refresh.
 type Index struct {
 	nodes []*Node
-	room  []room
+	free  []freeCapacity
 }
 
-// room is the free capacity of a worker.
-type room struct {
+// freeCapacity is the free capacity of a worker.
+type freeCapacity struct {
 	// cpu and memoryMB are available to long-running tasks, batchCPU and batchMemoryMB to others.
 	cpu, memoryMB           int
 	batchCPU, batchMemoryMB int
 	// unusedCPU is the CPU that best-effort tasks find unused: enough for any on a worker that runs none, and none on one whose
-	// latency-critical tasks bear no further load.
+	// load margin is used up.
 	unusedCPU int
 }
 
-func roomOf(node *Node) room {
+func freeCapacityOf(node *Node) freeCapacity {
 	free := node.Free()
-	r := room{
+	c := freeCapacity{
 		cpu: free.CPU, memoryMB: free.MemoryMB, batchCPU: free.CPU - node.Held.CPU, batchMemoryMB: free.MemoryMB - node.Held.MemoryMB,
 		unusedCPU: math.MaxInt,
 	}
 	switch {
-	case node.bearsNoMoreLoad():
-		r.unusedCPU = math.MinInt
+	case node.loadMarginUsedUp():
+		c.unusedCPU = math.MinInt
 	case node.BestEffortTasks > 0:
-		r.unusedCPU = node.UnusedCPU()
+		c.unusedCPU = node.UnusedCPU()
 	}
-	return r
+	return c
 }
 
 // demand is the capacity that a worker needs to have for a request.
@@ -63,25 +63,25 @@
 	return d
 }
 
-// covers reports whether the room may be enough for a demand.
-func (r *room) covers(d *demand) bool {
+// covers reports whether the free capacity may be enough for a demand.
+func (c *freeCapacity) covers(d *demand) bool {
 	if d.longRunning {
-		return r.cpu >= d.cpu && r.memoryMB >= d.memoryMB && r.unusedCPU >= d.unusedCPU
+		return c.cpu >= d.cpu && c.memoryMB >= d.memoryMB && c.unusedCPU >= d.unusedCPU
 	}
-	return r.batchCPU >= d.cpu && r.batchMemoryMB >= d.memoryMB && r.unusedCPU >= d.unusedCPU
+	return c.batchCPU >= d.cpu && c.batchMemoryMB >= d.memoryMB && c.unusedCPU >= d.unusedCPU
 }
 
 // Refresh brings the index up to date with the accounts of the workers.
 func (x *Index) Refresh(nodes []*Node) {
-	x.nodes, x.room = nodes, x.room[:0]
+	x.nodes, x.free = nodes, x.free[:0]
 	for _, node := range nodes {
-		x.room = append(x.room, roomOf(node))
+		x.free = append(x.free, freeCapacityOf(node))
 	}
 }
 
 // Search chooses workers for the tasks of one step, one after the other. Between two choices the caller reserves capacity on the
 // worker chosen last and changes no other account. A worker that has refused a task of the step then refuses the next ones
-// too, and one that has not is as good as before, so that only the worker chosen last is looked at again.
+// too, and one that has not is as good as before, so that only the worker chosen last is examined again.
 type Search struct {
 	index *Index
 	// kind is what the refusals so far depend on besides the step.
@@ -171,7 +171,7 @@
 		i := (s.examined + s.offset) % len(s.index.nodes)
 		s.examined++
 		// Once the reason is a shortage, no other refusal replaces it, so that none has to be determined.
-		if s.reason.isShortage() && !s.index.room[i].covers(&s.demand) {
+		if s.reason.isShortage() && !s.index.free[i].covers(&s.demand) {
 			continue
 		}
 		if s.accepts(i, request) {
@@ -189,7 +189,7 @@
 	}
 	s.reason = moreSpecific(s.reason, refusal)
 	if refusal.isShortage() || refusal == ReasonInterference {
-		s.index.room[i] = roomOf(node)
+		s.index.free[i] = freeCapacityOf(node)
 	}
 	return false
 }
--- a/placement/search_test.go
+++ b/placement/search_test.go
@@ -97,7 +97,7 @@
 			}
 			chosen.Reserve(s)
 		}
-		// Each worker with room, the first one without, and for each task the worker that was chosen before.
+		// Each worker with free capacity, the first one without, and for each task the worker that was chosen before.
 		if most := withRoom + 1 + tasks; examined > most {
 			t.Errorf("%s: %d workers examined for %d tasks, at most %d are needed", name, examined, tasks, most)
 		}
