Replace figurative wording in comments and errors

Tests of platform, backend, settings, dedup and peer passed with the race detector; vet and staticcheck passed.

--- a/backend/httpbackend/client.go
+++ b/backend/httpbackend/client.go
@@ -160,7 +160,7 @@
 	return slices.Clone(entries), nil
 }
 
-// decodeEntry decodes and checks one entry of the directory, so that an invalid one does not spoil the list.
+// decodeEntry decodes and checks one entry of the directory, so that an invalid one does not affect the others of the list.
 func decodeEntry(encoded json.RawMessage) (backend.Entry, error) {
 	var entry backend.Entry
 	if err := json.Unmarshal(encoded, &entry); err != nil {
--- a/dedup/ownership.go
+++ b/dedup/ownership.go
@@ -79,7 +79,7 @@
 		return number, nil
 	}
 	if !state.lockTransfer(ctx) {
-		return 0, &fault.Failure{FailureCode: fault.CodeNotReady, Op: "ledger", Detail: "a transfer to the backup is still in progress"}
+		return 0, &fault.Failure{FailureCode: fault.CodeNotReady, Op: opDeduplicate, Detail: "a transfer to the backup is still in progress"}
 	}
 	defer func() { <-state.transferLock }()
 	if number, ok := state.syncedTransfer(epoch); ok {
--- a/dedup/service.go
+++ b/dedup/service.go
@@ -11,6 +11,9 @@
 	"bronzehook/fault"
 )
 
+// opDeduplicate is the operation that failures of this package name.
+const opDeduplicate = "deduplicate"
+
 // Call is one attempt of a caller at a request with an idempotency key.
 type Call struct {
 	Key string
@@ -151,7 +154,7 @@
 	for {
 		state := s.ownedShard(shard)
 		if state == nil {
-			return Response{}, undecidedError(call, notRunError(fault.CodeNotOwner, "ledger", "this instance does not own the key's shard"))
+			return Response{}, undecidedError(call, notRunError(fault.CodeNotOwner, opDeduplicate, "this instance does not own the key's shard"))
 		}
 		d, err := state.begin(s.clock.Now(), call)
 		if err != nil {
@@ -163,12 +166,12 @@
 		case DecideRespond:
 			return *d.record.Response, nil
 		case DecideUnknown:
-			return Response{}, unknownOutcomeError("ledger", "an earlier attempt may have been executed and its response is not known")
+			return Response{}, unknownOutcomeError(opDeduplicate, "an earlier attempt may have been executed and its response is not known")
 		}
 		select {
 		case <-d.finished:
 		case <-ctx.Done():
-			return Response{}, unknownOutcomeError("ledger", "an earlier attempt is still being executed")
+			return Response{}, unknownOutcomeError(opDeduplicate, "an earlier attempt is still being executed")
 		}
 	}
 }
@@ -289,7 +292,7 @@
 }
 
 func ownershipLostError() error {
-	return &fault.Failure{FailureCode: fault.CodeNotOwner, Op: "ledger", Detail: "the ownership of the shard has changed"}
+	return &fault.Failure{FailureCode: fault.CodeNotOwner, Op: opDeduplicate, Detail: "the ownership of the shard has changed"}
 }
 
 // notRunError and unknownOutcomeError return errors without stack traces, which would dominate the cost of a refusal.
--- a/dedup/table.go
+++ b/dedup/table.go
@@ -12,7 +12,7 @@
 // State is the progress of one execution of an idempotency key.
 type State uint8
 
-// The states of an execution. Where the owner and the backup differ on one execution, the higher state wins.
+// The states of an execution. Where the owner and the backup differ on one execution, the higher state applies.
 const (
 	// StateRecorded means that only the owner has the key.
 	StateRecorded State = iota
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -144,7 +144,7 @@
 
 // prefers reports whether c replaces old in the cache. If both ends dialled simultaneously, both keep the connection
 // dialled by the instance with the smaller ID, so that one connection carries both directions; the other one is closed
-// by the idle timeout. Otherwise the newer connection wins, because a restarted peer may not have closed the older one.
+// by the idle timeout. Otherwise the newer connection is kept, because a restarted peer may not have closed the older one.
 func (t *Transport) prefers(c, old *connection) bool {
 	if c.dialled == old.dialled || c.establishedAt.Sub(old.establishedAt) > simultaneousDialWindow {
 		return true
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,7 +41,7 @@
 	CallerCert string `long:"caller-cert" env:"BRONZEHOOK_CALLER_CERT" description:"PEM file with the certificate chain shown to callers and operators; empty means plain HTTP"`
 	CallerKey  string `long:"caller-key" env:"BRONZEHOOK_CALLER_KEY" description:"PEM file with the key of caller-cert"`
 
-	CallerTokens string `long:"caller-tokens" env:"BRONZEHOOK_CALLER_TOKENS" description:"YAML file with a list of {team, name, token}: callers then have to send a bearer token; empty means that their team header is believed"`
+	CallerTokens string `long:"caller-tokens" env:"BRONZEHOOK_CALLER_TOKENS" description:"YAML file with a list of {team, name, token}: callers then have to send a bearer token; empty means that their team header is trusted"`
 
 	OperatorToken string `long:"operator-token" env:"BRONZEHOOK_OPERATOR_TOKEN" description:"bearer token that operators have to send; empty accepts all, which only --dev allows"`
 
