--- a/capacity/coordinator_test.go
+++ b/capacity/coordinator_test.go
@@ -173,28 +173,35 @@
 	}
 }
 
-// BenchmarkCoordinatorCycle measures a cycle that finds a change but nothing to place. %core assumes the maximum rate
-// of five cycles per second. B/op and allocs/op are the garbage of a cycle.
-func BenchmarkCoordinatorCycle(b *testing.B) {
+// eachLoadedCoordinator runs a benchmark for each of fleetSizes, with a coordinator that has read its tasks.
+func eachLoadedCoordinator(b *testing.B, run func(b *testing.B, c *coordinatorBench)) {
 	for _, size := range fleetSizes {
 		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
 			c := newCoordinatorBench(b, size.workers, size.tasks)
 			c.loadRows()
-			c.deliverFullReports()
-			c.loop.cycle()
-			b.ReportAllocs()
-			start := cpuTime(b)
-			for b.Loop() {
-				c.reportChange()
-				c.loop.cycle()
-			}
-			perCycle := (cpuTime(b) - start).Seconds() / float64(b.N)
-			cyclesPerSecond := float64(time.Second / coordinator.CycleInterval)
-			b.ReportMetric(100*perCycle*cyclesPerSecond, "%core")
+			run(b, c)
 		})
 	}
 }
 
+// BenchmarkCoordinatorCycle measures a cycle that finds a change but nothing to place. %core assumes the maximum rate
+// of five cycles per second. B/op and allocs/op are the garbage of a cycle.
+func BenchmarkCoordinatorCycle(b *testing.B) {
+	eachLoadedCoordinator(b, func(b *testing.B, c *coordinatorBench) {
+		c.deliverFullReports()
+		c.loop.cycle()
+		b.ReportAllocs()
+		start := cpuTime(b)
+		for b.Loop() {
+			c.reportChange()
+			c.loop.cycle()
+		}
+		perCycle := (cpuTime(b) - start).Seconds() / float64(b.N)
+		cyclesPerSecond := float64(time.Second / coordinator.CycleInterval)
+		b.ReportMetric(100*perCycle*cyclesPerSecond, "%core")
+	})
+}
+
 // reportChange reports one task in a different state than the last report did.
 func (b *coordinatorBench) reportChange() {
 	task := b.tasks[0]
@@ -210,33 +217,25 @@
 // BenchmarkCoordinatorIdle measures a cycle of a coordinator without reported changes. Every fifth such cycle makes
 // scheduling decisions.
 func BenchmarkCoordinatorIdle(b *testing.B) {
-	for _, size := range fleetSizes {
-		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
-			c := newCoordinatorBench(b, size.workers, size.tasks)
-			c.loadRows()
-			c.deliverFullReports()
+	eachLoadedCoordinator(b, func(b *testing.B, c *coordinatorBench) {
+		c.deliverFullReports()
+		c.loop.cycle()
+		for b.Loop() {
 			c.loop.cycle()
-			for b.Loop() {
-				c.loop.cycle()
-			}
-		})
-	}
+		}
+	})
 }
 
 // BenchmarkCoordinatorReports measures the handling of a full report of every rack with usage. In operation, full
 // reports arrive every 30 s and usage every 5 s.
 func BenchmarkCoordinatorReports(b *testing.B) {
-	for _, size := range fleetSizes {
-		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
-			c := newCoordinatorBench(b, size.workers, size.tasks)
-			c.loadRows()
-			c.loop.cycle()
-			b.ReportAllocs()
-			for b.Loop() {
-				c.deliverFullReports()
-			}
-		})
-	}
+	eachLoadedCoordinator(b, func(b *testing.B, c *coordinatorBench) {
+		c.loop.cycle()
+		b.ReportAllocs()
+		for b.Loop() {
+			c.deliverFullReports()
+		}
+	})
 }
 
 // BenchmarkCoordinatorStart measures how long a new coordinator takes to read all task rows from a table in the same
--- a/peer/stop_test.go
+++ b/peer/stop_test.go
@@ -13,6 +13,21 @@
 	"bronzehook/fault"
 )
 
+// startBlocking starts a server whose handler signals started and then waits until release is closed.
+func startBlocking(t *testing.T, server *Transport) (started <-chan struct{}, release chan<- struct{}) {
+	t.Helper()
+	begun, proceed := make(chan struct{}, 1), make(chan struct{})
+	server.Handle(KindStopTask, func(_ context.Context, _ Sender, p []byte) ([]byte, error) {
+		begun <- struct{}{}
+		<-proceed
+		return p, nil
+	})
+	if err := server.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return begun, proceed
+}
+
 // Guards against a planned stop that aborts calls of other instances while they are served, or accepts new ones.
 func TestStopFinishesCallsOfPeers(t *testing.T) {
 	authority := newAuthority(t)
@@ -20,16 +35,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	started, release := make(chan struct{}, 1), make(chan struct{})
 	server := New(Config{ID: "server", Addr: "127.0.0.1:0", Session: 1, TLS: conf, Log: zerolog.Nop()})
-	server.Handle(KindStopTask, func(_ context.Context, _ Sender, p []byte) ([]byte, error) {
-		started <- struct{}{}
-		<-release
-		return p, nil
-	})
-	if err := server.Start(t.Context()); err != nil {
-		t.Fatal(err)
-	}
+	started, release := startBlocking(t, server)
 	client := startNode(t, authority, "client", nil)
 	call := func() error { return client.Call(t.Context(), server.Addr(), KindStopTask, text{"x"}, &text{}) }
 	first := make(chan error, 1)
@@ -88,15 +95,7 @@
 		return socket, err
 	}
 	server := New(Config{ID: "server", Addr: "127.0.0.1:0", Session: 1, TLS: conf, Listen: listen, Log: zerolog.Nop()})
-	started, release := make(chan struct{}, 1), make(chan struct{})
-	server.Handle(KindStopTask, func(_ context.Context, _ Sender, p []byte) ([]byte, error) {
-		started <- struct{}{}
-		<-release
-		return p, nil
-	})
-	if err := server.Start(t.Context()); err != nil {
-		t.Fatal(err)
-	}
+	started, release := startBlocking(t, server)
 	client := startNode(t, authority, "client", nil)
 	call := func() <-chan error {
 		done := make(chan error, 1)
--- a/session/workers_test.go
+++ b/session/workers_test.go
@@ -107,13 +107,28 @@
 	}
 }
 
+// startRunningJob starts a fleet on which all tasks of a long job run, and a load on its service.
+func startRunningJob(t *testing.T) (*fleet, *load) {
+	t.Helper()
+	f := startWorkloads(t, longJobTime)
+	f.eventually(recoveryLimit, "all tasks of the job run", func() bool { return len(f.runningAttempts("index")) == jobTasks })
+	return f, f.startLoad("shop")
+}
+
+// checkRecovered requires that the long job gets done and that the service answers, and ends the load.
+func (f *fleet) checkRecovered(t *testing.T, l *load) {
+	t.Helper()
+	f.checkJobDone(t, "index", jobTasks, jobDeadline)
+	f.awaitAnswered("shop", recoveryLimit, f.instances...)
+	l.finish()
+	f.checkAll(t, l)
+}
+
 // Guards against a second attempt that starts while the first may still run on an unresponsive worker. The event log of a
 // frozen worker records the expiry of the attempt lease.
 func TestFrozenWorker(t *testing.T) {
 	t.Parallel()
-	f := startWorkloads(t, longJobTime)
-	f.eventually(recoveryLimit, "all tasks of the job run", func() bool { return len(f.runningAttempts("index")) == jobTasks })
-	l := f.startLoad("shop")
+	f, l := startRunningJob(t)
 	victim := f.workerWithJobAndWatcher()
 	lost := runningOn(victim)
 	victim.SetFaults(fake.WorkerFaults{Frozen: true})
@@ -125,10 +140,7 @@
 		return ended[0].End
 	})
 	victim.SetFaults(fake.WorkerFaults{})
-	f.checkJobDone(t, "index", jobTasks, jobDeadline)
-	f.awaitAnswered("shop", recoveryLimit, f.instances...)
-	l.finish()
-	f.checkAll(t, l)
+	f.checkRecovered(t, l)
 }
 
 // Guards against tasks that are lost with their worker, or started twice. A crashed worker cannot show that its attempt leases
@@ -137,18 +149,13 @@
 func TestWorkerCrash(t *testing.T) {
 	t.Parallel()
 	const remainingLease = attemptLease / 3
-	f := startWorkloads(t, longJobTime)
-	f.eventually(recoveryLimit, "all tasks of the job run", func() bool { return len(f.runningAttempts("index")) == jobTasks })
-	l := f.startLoad("shop")
+	f, l := startRunningJob(t)
 	victim := f.workerWithJobAndWatcher()
 	lost := runningOn(victim)
 	crashedAt := time.Now()
 	victim.Close()
 	f.checkRestarted(t, lost, func(fake.AttemptRecord) time.Time { return crashedAt.Add(remainingLease) })
-	f.checkJobDone(t, "index", jobTasks, jobDeadline)
-	f.awaitAnswered("shop", recoveryLimit, f.instances...)
-	l.finish()
-	f.checkAll(t, l)
+	f.checkRecovered(t, l)
 }
 
 // Guards against a leaving worker that still gets requests or tasks after leavingLimit.
