--- a/intake/intake.go
+++ b/intake/intake.go
@@ -61,20 +61,6 @@
 	terminalStates map[jobs.ID]jobs.PublicState
 }
 
-// pendingCount is a cached count of the pending jobs of one queue.
-type pendingCount struct {
-	mu     sync.Mutex
-	value  int
-	readAt time.Time
-}
-
-// leaderCounts caches the row in which the leader counts the pending jobs of all queues.
-type leaderCounts struct {
-	mu     sync.Mutex
-	readAt time.Time
-	counts *jobs.Counts
-}
-
 // New returns a service. The parameter now reads the wall clock, which may jump.
 func New(
 	table store.Table, health Health, provider *manifest.Provider, metrics *Metrics, logger zerolog.Logger, now func() time.Time,
@@ -97,15 +83,6 @@
 // Code implements fault.Coded.
 func (*OutageError) Code() fault.Code { return fault.CodeStoreUnavailable }
 
-// UnknownJobError reports a job that was never accepted, or whose state was deleted after the retention period.
-type UnknownJobError struct{ Job jobs.ID }
-
-// Error returns a text with the job's ID.
-func (e *UnknownJobError) Error() string { return "unknown job " + string(e.Job) }
-
-// Code implements fault.Coded.
-func (*UnknownJobError) Code() fault.Code { return fault.CodeNotFound }
-
 // Submit stores a job. A job that is already stored is accepted again without a change, so that callers may retry.
 func (s *Service) Submit(ctx context.Context, spec *jobs.Spec) error {
 	started := time.Now()
@@ -206,70 +183,6 @@
 	}
 }
 
-// State returns the state of a job.
-func (s *Service) State(ctx context.Context, queue string, id jobs.ID) (jobs.State, error) {
-	if state, ok := s.cachedState(id); ok {
-		return state.State, nil
-	}
-	started := time.Now()
-	state, _, err := s.readState(ctx, id)
-	s.metrics.observe("state", started, err)
-	if err != nil {
-		s.logger.Warn().Str(logging.KeyRequest, string(id)).Str("queue", queue).
-			Str(logging.KeyReason, string(fault.CodeOf(err))).Msg("job state not read")
-		return "", err
-	}
-	return state.State, nil
-}
-
-func (s *Service) cachedState(id jobs.ID) (jobs.PublicState, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	state, ok := s.terminalStates[id]
-	return state, ok
-}
-
-// cacheState keeps a terminal state, which does not change any more. A full cache is emptied.
-func (s *Service) cacheState(id jobs.ID, state jobs.PublicState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.terminalStates) >= maxTerminalStates {
-		clear(s.terminalStates)
-	}
-	s.terminalStates[id] = state
-}
-
-// readState reads the state of a job and the version of its row.
-func (s *Service) readState(ctx context.Context, id jobs.ID) (jobs.PublicState, uint64, error) {
-	if s.health.Down(outageThreshold) {
-		return jobs.PublicState{}, 0, errors.WithStack(&OutageError{})
-	}
-	started := time.Now()
-	for {
-		rows, err := store.ReadRow(ctx, s.table, store.StateKey(string(id)))
-		if err == nil {
-			return s.decodeState(id, rows)
-		}
-		if !s.waitForRetry(ctx, started, false) {
-			return jobs.PublicState{}, 0, err
-		}
-	}
-}
-
-func (s *Service) decodeState(id jobs.ID, rows store.Changes) (jobs.PublicState, uint64, error) {
-	if len(rows.Rows) == 0 {
-		return jobs.PublicState{}, 0, errors.WithStack(&UnknownJobError{Job: id})
-	}
-	state, err := jobs.Decode[jobs.PublicState]("state", rows.Rows[0].Value)
-	if err != nil {
-		return jobs.PublicState{}, 0, err
-	}
-	if state.State.Terminal() {
-		s.cacheState(id, *state)
-	}
-	return *state, rows.Rows[0].Version, nil
-}
-
 // Cancel stores that a job is cancelled. A job in a terminal state stays as it is.
 func (s *Service) Cancel(ctx context.Context, queue string, id jobs.ID) error {
 	started := time.Now()
@@ -309,57 +222,3 @@
 		}
 	}
 }
-
-// Pending returns the number of accepted jobs of a queue of which no task has started. The leader writes the counts of all queues
-// into one row; if that row is too old, the queue's rows of pending jobs are counted instead.
-func (s *Service) Pending(ctx context.Context, queue string) (int, error) {
-	if s.health.Down(outageThreshold) {
-		return 0, errors.WithStack(&OutageError{})
-	}
-	if counts, ok := s.readLeaderCounts(ctx); ok {
-		return counts[queue], nil
-	}
-	s.mu.Lock()
-	c, ok := s.pending[queue]
-	if !ok {
-		c = &pendingCount{}
-		s.pending[queue] = c
-	}
-	s.mu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if time.Since(c.readAt) < maxPendingCountAge {
-		return c.value, nil
-	}
-	started := time.Now()
-	from, to := store.PendingRange(queue)
-	rows, err := store.List(ctx, s.table, store.TablePending, from, to)
-	if err != nil {
-		return 0, err
-	}
-	c.value, c.readAt = len(rows.Rows), started
-	return c.value, nil
-}
-
-// readLeaderCounts returns the counts that the leader wrote last, by queue. It reports false if they can't be read or are too old.
-func (s *Service) readLeaderCounts(ctx context.Context) (map[string]int, bool) {
-	latest := &s.leaderCounts
-	latest.mu.Lock()
-	defer latest.mu.Unlock()
-	if time.Since(latest.readAt) >= maxPendingCountAge {
-		started := time.Now()
-		rows, err := store.ReadRow(ctx, s.table, store.CountsKey)
-		if err != nil {
-			return nil, false
-		}
-		latest.readAt, latest.counts = started, nil
-		if len(rows.Rows) > 0 {
-			// A row that can't be decoded is treated as missing.
-			latest.counts, _ = jobs.Decode[jobs.Counts]("counts", rows.Rows[0].Value)
-		}
-	}
-	if latest.counts == nil || s.now().Sub(time.UnixMilli(latest.counts.Written)).Abs() > maxLeaderCountsAge {
-		return nil, false
-	}
-	return latest.counts.Pending, true
-}
