--- a/entry/settings.go
+++ b/entry/settings.go
@@ -49,7 +49,7 @@
 // AttemptLeaseDuration returns the duration of the attempt leases that the leader grants: how long a worker keeps attempts
 // running without a renewal.
 func (s *Settings) AttemptLeaseDuration() time.Duration {
-	return min(maxAttemptLease, toDuration(s.AttemptLease, time.Millisecond))
+	return min(maxAttemptLease, s.WorkerLeaseLimit())
 }
 
 // WorkerLeaseLimit returns the longest attempt lease that workers grant.
