--- a/store/hedge/hedge_test.go
+++ b/store/hedge/hedge_test.go
@@ -61,9 +61,7 @@
 	Puts:       []store.Put{{Key: store.StateKey("j"), Value: store.PresenceValue}},
 }
 
-// Guards against callers and the leader waiting for a time-out whenever the store loses the reply to a call. With this
-// fault, the score of the workloads "rosters" and "plans" was 0.45 on benchmark days on which a third of the replies was
-// lost.
+// Guards against callers and the leader waiting for a time-out whenever the store loses the reply to a call.
 func TestOverdueCallsAreSentAgain(t *testing.T) {
 	cases := []struct {
 		name   string
