Keep a ticket for the incarnation that was asked about

Starts were refused for their ticket after a worker had started again while the advice was under way. The ticket was stamped with the incarnation that the leader knew when the response arrived, though a ticket holds for one incarnation only and the request may have been answered before the restart.

The request now notes the start time of each worker, and the ticket is stamped with that. If the service has answered for the later incarnation already, its ticket is not used either, and the advice is requested again.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -88,11 +88,13 @@
 		return
 	}
 	var ids []workers.ID
+	startTimes := make(map[workers.ID]int64)
 	for _, w := range t.active {
 		id := w.id()
 		fits := w.node.Usable && w.node.Registration.Service == j.queue.Service && j.spec.Steps[step].Reserved().Fits(w.node.Free())
 		if fits && !a.refused[id] {
 			ids = append(ids, id)
+			startTimes[id] = w.startTime
 		}
 		if len(ids) == maxWorkersPerRequest {
 			break
@@ -113,13 +115,14 @@
 	stepID := jobs.Task{Job: j.spec.ID, Occurrence: number, Step: step}
 	t.spawn("advice request", func() {
 		advice, err := t.opts.Advisor.Advise(t.ctx, stepID, ids)
-		t.post(func() { t.handleAdvice(a, stepID, ids, now, advice, err) })
+		t.post(func() { t.handleAdvice(a, stepID, startTimes, now, advice, err) })
 	})
 }
 
-// handleAdvice handles the response of the advice service.
+// handleAdvice handles the response of the advice service. A ticket is for the incarnation of the worker that the leader
+// knew when it sent the request, of which startTimes holds the start time: the worker may have started again since.
 func (t *Term) handleAdvice(
-	a *stepAdvice, stepID jobs.Task, ids []workers.ID, requestedAt time.Duration, advice workers.Advice, err error,
+	a *stepAdvice, stepID jobs.Task, startTimes map[workers.ID]int64, requestedAt time.Duration, advice workers.Advice, err error,
 ) {
 	t.adviceInFlight = false
 	t.scheduleDue = true
@@ -127,20 +130,18 @@
 	if err != nil {
 		event = t.log.Warn().AnErr("error", err)
 	}
-	event.Stringer(logging.KeyTask, stepID).Int("asked", len(ids)).Int("good", len(advice.Tickets)).
+	event.Stringer(logging.KeyTask, stepID).Int("asked", len(startTimes)).Int("good", len(advice.Tickets)).
 		Dur("valid", advice.Valid).Msg("advice request for a step finished")
 	if err != nil {
 		return
 	}
-	for _, id := range ids {
+	for id, startTime := range startTimes {
 		text, ok := advice.Tickets[id]
 		if !ok {
 			a.refused[id] = true
 			continue
 		}
-		if w := t.workers[id]; w != nil {
-			a.tickets[id] = ticket{text: text, startTime: w.startTime, expiresAt: requestedAt + advice.Valid}
-		}
+		a.tickets[id] = ticket{text: text, startTime: startTime, expiresAt: requestedAt + advice.Valid}
 	}
 }
 
