Ignore responses to polls from before a restart or maintenance

Tasks were placed on a worker that had just gone: its new incarnation had registered, or the maintenance of its machine had begun, and the worker had to answer a poll before it got work. A poll that was in flight, and that the earlier incarnation had answered, counted as that answer.

Both places now start a new poll round. A registration does so once for each incarnation, not with each write of the row, so that a worker with a slow link still gets its response through; until now its failure count was reset each time, too.

--- a/execution/maintenance.go
+++ b/execution/maintenance.go
@@ -250,14 +250,14 @@
 
 // finishMachine records that a machine needs no further command in a wave. Its worker may have been shut down, or the
 // next incarnation may be registered already, or the maintenance was over before this command. In each case a worker
-// there has to answer a poll before it gets work.
+// there has to answer a poll that is sent from now on before it gets work.
 func (t *Term) finishMachine(w *wave, machine string) {
 	w.Begun[machine] = true
 	delete(w.Unconfirmed, machine)
 	t.uncordon(w, machine)
 	for _, onMachine := range t.workersByMachine()[machine] {
 		onMachine.fenced = false
-		onMachine.nextPoll = 0
+		t.pollAgain(onMachine)
 	}
 }
 
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -163,10 +163,10 @@
 	if !w.registered && !t.loading {
 		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", registration.Addr).Msg("worker listed")
 	}
-	if w.node.Registration.Addr != registration.Addr || (registration.StartTime != 0 && w.startTime != 0 && registration.StartTime > w.startTime) {
-		// A new incarnation of the worker has not accepted a fencing token of this term yet.
-		w.fenced = false
-		w.incarnation++
+	if w.node.Registration.Addr != registration.Addr || w.announcesIncarnation(registration.StartTime) {
+		// A new incarnation of the worker has not accepted a fencing token of this term yet. A poll in flight may be answered
+		// by the earlier one.
+		t.raiseToken(w)
 		w.pollFailures = 0
 	}
 	if registration.Draining && !w.node.Registration.Draining {
@@ -183,6 +183,12 @@
 	}
 }
 
+// announcesIncarnation reports whether a registration with a start time is the first one of an incarnation that has not
+// answered yet.
+func (w *worker) announcesIncarnation(startTime int64) bool {
+	return w.startTime != 0 && startTime > w.startTime && startTime != w.node.Registration.StartTime
+}
+
 // deregister notes that a worker has no registration any more, and removes it from the local view if it is inactive.
 func (t *Term) deregister(w *worker) {
 	w.registered = false
