Place no task by the registration of an earlier incarnation

After a worker had started again under its ID, tasks were placed on it by the capacity, labels and service of the earlier incarnation until its new registration was read, for as long as the store was out of reach. A new incarnation may be of another kind, so that a task could start without its label, or over the capacity of a worker that enforces none.

A worker is usable only if its registration has the start time that its last answer had. TestRegistrationOfEarlierIncarnationIsNotUsed fails without the change.

--- a/execution/restart_test.go
+++ b/execution/restart_test.go
@@ -50,3 +50,36 @@
 		})
 	}
 }
+
+// Guards against a task on a worker that lacks its label or capacity: the worker has started again, maybe as another kind, and
+// its registration is still that of the earlier incarnation.
+func TestRegistrationOfEarlierIncarnationIsNotUsed(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.registerWorkers(8, 1000)
+	w := r.workers["w0000"]
+	r.activate(w)
+	usable := func() bool {
+		r.refreshNodes(r.clock)
+		return w.node.Usable
+	}
+	r.pollAs(w, testStartTime, 1000)
+	if !usable() {
+		t.Fatal("not usable by its own registration")
+	}
+	for range 2 {
+		// The second poll has the raised fencing token.
+		r.pollAs(w, laterStartTime, 10)
+	}
+	if usable() {
+		t.Error("usable by the registration of the earlier incarnation")
+	}
+	r.opts.ParseRegistration = func(store.Row) (workers.Registration, error) {
+		registration := w.node.Registration
+		registration.StartTime = laterStartTime
+		return registration, nil
+	}
+	r.applyRegistration(store.Row{Key: store.Key{Table: "servers", Name: string(w.id())}})
+	if !usable() {
+		t.Error("not usable after its registration was read")
+	}
+}
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -183,6 +183,12 @@
 	}
 }
 
+// registrationCurrent reports whether the registration is that of the incarnation that answered last. Another one may differ in
+// capacity, labels and service.
+func (w *worker) registrationCurrent() bool {
+	return w.startTime == 0 || w.node.Registration.StartTime == 0 || w.node.Registration.StartTime == w.startTime
+}
+
 // announcesIncarnation reports whether a registration with a start time is the first one of an incarnation that has not
 // answered yet.
 func (w *worker) announcesIncarnation(startTime int64) bool {
@@ -233,7 +239,7 @@
 func (t *Term) refreshNodes(now time.Duration) {
 	t.usableCount, t.usableCPU, t.degradedCount = 0, 0, 0
 	for _, w := range t.active {
-		usable := w.registered && w.fenced && !w.node.Registration.Draining && w.pollFailures == 0 && len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w)
+		usable := w.registered && w.fenced && w.registrationCurrent() && !w.node.Registration.Draining && w.pollFailures == 0 && len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w)
 		if usable && !w.node.Usable {
 			t.scheduleDue = true
 		}
