--- a/execution/latestart_test.go
+++ b/execution/latestart_test.go
@@ -111,7 +111,7 @@
 	if !w.polling {
 		t.Fatal("no poll in flight")
 	}
-	r.client.err = nil
+	r.client.setErr(nil)
 	r.advanceClock(time.Millisecond)
 	r.retryCommands(r.clock)
 	r.handleEvents()
--- a/execution/rig_test.go
+++ b/execution/rig_test.go
@@ -39,7 +39,18 @@
 	return f.clock, f.err
 }
 
-func (f *fakeWorkers) Stop(context.Context, workers.Target, jobs.Task, int) error { return f.err }
+func (f *fakeWorkers) Stop(context.Context, workers.Target, jobs.Task, int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+// setErr sets the response to later calls; calls may be in flight.
+func (f *fakeWorkers) setErr(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
 
 func (f *fakeWorkers) Poll(_ context.Context, request workers.PollRequest) (workers.Inventory, error) {
 	f.mu.Lock()
