Add a failing test of a worker that is dropped and registers again

A leader drops a worker that is unresponsive and not registered, with its count of incarnations. When the same incarnation registers again, its fencing token starts lower than the one that it has accepted from this term. It refuses the leader's calls, and the leader takes that for the sign of another leader and ends its term.

--- /dev/null
+++ b/execution/droppedworker_test.go
@@ -0,0 +1,61 @@
+package execution
+
+import (
+	"context"
+	"testing"
+
+	"bronzehook/store"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+// fencingWorkers is fakeWorkers, but refuses polls with a lower fencing token than the worker has accepted.
+type fencingWorkers struct {
+	*fakeWorkers
+	highestToken uint64
+}
+
+func (f *fencingWorkers) Poll(ctx context.Context, request workers.PollRequest) (workers.Inventory, error) {
+	if request.FencingToken < f.highestToken {
+		return workers.Inventory{}, &workers.RefusedError{Worker: request.ID, Reason: workers.ReasonStaleToken}
+	}
+	f.highestToken = request.FencingToken
+	return f.fakeWorkers.Poll(ctx, request)
+}
+
+// Guards against a leader that takes its own fencing token for that of another leader and ends its term: it had dropped an
+// unresponsive worker that then registered again.
+func TestDroppedWorkerIsFencedAgain(t *testing.T) {
+	r := newRig(t, memory.New())
+	client := &fencingWorkers{fakeWorkers: r.client}
+	r.opts.Workers = client
+	r.registerWorkers(8, 1000)
+	row := store.Row{Key: store.Key{Table: "servers", Name: "w0000"}}
+	unreachable := &workers.UnreachableError{Worker: "w0000"}
+	pollAgain := func() *worker {
+		w := r.workers["w0000"]
+		r.activate(w)
+		r.pollWorker(w, r.clock)
+		r.handleEvents()
+		return w
+	}
+	w := r.workers["w0000"]
+	r.handlePollFailure(w, r.target(w), r.clock, unreachable)
+	if w = pollAgain(); !w.fenced {
+		t.Fatal("not fenced")
+	}
+	r.handlePollFailure(w, r.target(w), r.clock, unreachable)
+	row.Deleted = true
+	r.applyRegistration(row)
+	r.advanceClock(3 * testAttemptLease)
+	r.commitAll()
+	r.expireAttempts(r.clock)
+	if r.workers["w0000"] != nil {
+		t.Fatal("not dropped")
+	}
+	row.Deleted = false
+	r.applyRegistration(row)
+	if w = pollAgain(); r.failure != nil || !w.fenced {
+		t.Errorf("fenced %v, the term ends: %v", w.fenced, r.failure)
+	}
+}
