Add a failing test of a ticket that a worker has refused

A ticket that a worker has refused is kept until it expires, so that the task is placed on that worker again and refused again, once in each scheduling cycle.

--- a/execution/advice_test.go
+++ b/execution/advice_test.go
@@ -57,3 +57,25 @@
 		t.Errorf("%d starts after advice for the present incarnation", n)
 	}
 }
+
+// Guards against a worker that refuses one start after the other for the same ticket.
+func TestRefusedTicketIsNotUsedAgain(t *testing.T) {
+	r, w := newAdviceRig(t, &fakeAdvisor{allowed: "w"})
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	r.client.setErr(&workers.RefusedError{Worker: w.id(), Reason: workers.ReasonTicket})
+	for range 3 {
+		r.advanceClock(adviceRetryInterval / 5)
+		r.scheduleAndCommit()
+	}
+	if n := r.client.startCount(); n != 1 {
+		t.Fatalf("%d starts with a refused ticket", n)
+	}
+	r.advanceClock(adviceRetryInterval)
+	r.client.setErr(nil)
+	r.scheduleAndCommit()
+	r.scheduleAndCommit()
+	if n := r.client.startCount(); n != 2 {
+		t.Errorf("%d starts after new advice", n)
+	}
+}
