Call a worker at its present address

In the standalone system a worker that had started again at another address was never reached again, and its attempts counted as running, until the rack changed its owner. The owner made the client of a worker once, for the address at which it had first seen it; the directory's later address changed only what it published.

A new address now replaces the client. The worker counts as unreachable until it answers there, so that it gets no attempts and its leases run out meanwhile. Calls in flight keep the client that they were made for, and their inventories are ignored.

TestRestartedWorkerIsCalledAtItsNewAddress fails without the change: the attempt is reported as running, the next one refused.

--- a/runner/orders.go
+++ b/runner/orders.go
@@ -91,12 +91,13 @@
 		notAfter: request.NotAfter, leaseExpiry: request.LeaseExpiry, unreported: true,
 	}
 	w.attempts[request.Task] = a
+	client := w.client
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		_, err := r.options.Ownership.Check(rack.unit)
 		if err == nil {
-			err = w.client.Start(ctx, request)
+			err = client.Start(ctx, request)
 		}
 		r.options.Loop.Post(func() {
 			if r.isCurrent(rack) {
@@ -173,8 +174,9 @@
 		a.stopping = true
 		r.refreshEndpoints(rack, w)
 	}
+	client, kind := w.client, a.status.Kind
 	go func() {
-		checkpoint, err := r.executeAction(rack, w, ref, action, a.status.Kind)
+		checkpoint, err := r.executeAction(rack, client, ref, action, kind)
 		r.options.Loop.Post(func() {
 			a.stopping = false
 			if r.isCurrent(rack) {
@@ -185,7 +187,7 @@
 }
 
 // executeAction makes the worker calls of an action. It runs outside the event loop.
-func (r *Runner) executeAction(rack *ownedRack, w *worker, ref backend.TaskRef, action TaskAction,
+func (r *Runner) executeAction(rack *ownedRack, client backend.Worker, ref backend.TaskRef, action TaskAction,
 	kind api.Kind) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), DrainTime+2*callTimeout)
 	defer cancel()
@@ -194,30 +196,32 @@
 	}
 	switch action.Action {
 	case ActionThrottle:
-		return "", w.client.Throttle(ctx, ref, action.Share)
+		return "", client.Throttle(ctx, ref, action.Share)
 	case ActionCheckpoint:
-		return w.client.Checkpoint(ctx, ref)
+		return client.Checkpoint(ctx, ref)
 	case ActionEvict:
-		checkpoint, err := w.client.Checkpoint(ctx, ref)
+		checkpoint, err := client.Checkpoint(ctx, ref)
 		if err != nil {
 			return "", err
 		}
-		return checkpoint, r.drainAndStop(ctx, rack, w, ref, kind)
+		return checkpoint, r.drainAndStop(ctx, rack, client, ref, action.Worker, kind)
 	default:
-		return "", r.drainAndStop(ctx, rack, w, ref, kind)
+		return "", r.drainAndStop(ctx, rack, client, ref, action.Worker, kind)
 	}
 }
 
 // drainAndStop stops an attempt. For a service it first waits until the requests in flight to its endpoint have
 // finished, for at most DrainTime.
-func (r *Runner) drainAndStop(ctx context.Context, rack *ownedRack, w *worker, ref backend.TaskRef, kind api.Kind) error {
+func (r *Runner) drainAndStop(
+	ctx context.Context, rack *ownedRack, client backend.Worker, ref backend.TaskRef, on api.WorkerID, kind api.Kind,
+) error {
 	if kind == api.KindService {
-		r.options.Slots.WaitIdle(ctx, w.info.ID, ref.Task, DrainTime)
+		r.options.Slots.WaitIdle(ctx, on, ref.Task, DrainTime)
 	}
 	if _, err := r.options.Ownership.Check(rack.unit); err != nil {
 		return err
 	}
-	return w.client.Stop(ctx, ref)
+	return client.Stop(ctx, ref)
 }
 
 func (r *Runner) handleActionResult(
--- a/runner/report.go
+++ b/runner/report.go
@@ -117,10 +117,11 @@
 
 // sendAck tells the worker to discard a terminated attempt and, on success, calls done on the event loop.
 func (r *Runner) sendAck(rack *ownedRack, w *worker, ref Ref, done func()) {
+	client := w.client
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		err := w.client.Ack(ctx, backend.TaskRef{Task: ref.Task, Attempt: ref.Attempt, Epoch: rack.epoch})
+		err := client.Ack(ctx, backend.TaskRef{Task: ref.Task, Attempt: ref.Attempt, Epoch: rack.epoch})
 		r.options.Loop.Post(func() {
 			if err == nil && r.isCurrent(rack) {
 				done()
@@ -140,10 +141,11 @@
 }
 
 func (r *Runner) readUsage(rack *ownedRack, w *worker) {
+	client := w.client
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		usage, err := w.client.Usage(ctx)
+		usage, err := client.Usage(ctx)
 		if err != nil {
 			return
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -164,7 +164,7 @@
 		}
 		if current := rack.workers[w.ID]; current != nil {
 			current.info.Leaving = w.Leaving
-			current.info.Addr = w.Addr
+			r.setAddr(rack, current, w.Addr)
 			r.refreshEndpoints(rack, current)
 			continue
 		}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -12,7 +12,8 @@
 
 // worker is the local view of one worker in an owned rack.
 type worker struct {
-	info   api.Worker
+	info api.Worker
+	// client calls the worker at info.Addr. It is read on the event loop only, and replaced when the address changes.
 	client backend.Worker
 	// fenced is set once the worker has answered a fence with the current ownership epoch. Until then it gets no
 	// attempts.
@@ -85,27 +86,39 @@
 		return
 	}
 	w.polling = true
-	fence := !w.fenced
+	fence, client := !w.fenced, w.client
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		var inventory backend.Inventory
 		var err error
 		if fence {
-			inventory, err = w.client.Fence(ctx, rack.epoch)
+			inventory, err = client.Fence(ctx, rack.epoch)
 		} else {
-			inventory, err = w.client.Inventory(ctx)
+			inventory, err = client.Inventory(ctx)
 		}
 		at := r.options.Clock.Now()
 		r.options.Loop.Post(func() {
 			w.polling = false
-			if r.isCurrent(rack) {
+			if r.isCurrent(rack) && w.client == client {
 				r.applyInventory(rack, w, inventory, err, at)
 			}
 		})
 	}()
 }
 
+// setAddr notes the address of a worker, which may change when it starts again. At a new address it is taken for unreachable
+// until it answers there.
+func (r *Runner) setAddr(rack *ownedRack, w *worker, addr string) {
+	if w.info.Addr == addr {
+		return
+	}
+	w.info.Addr = addr
+	w.client = r.options.Workers.Worker(w.info)
+	r.markUnreachable(rack, w, nil)
+	r.poll(rack, w)
+}
+
 func (r *Runner) applyInventory(rack *ownedRack, w *worker, inventory backend.Inventory, err error, at time.Time) {
 	if err != nil || inventory.Epoch != rack.epoch {
 		// A restarted worker has no ownership epoch; it has to be fenced again before it accepts requests.
@@ -248,10 +261,11 @@
 		a := w.attempts[ref.Task]
 		a.leaseExpiry = max(a.leaseExpiry, leaseExpiry)
 	}
+	client := w.client
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		if err := w.client.Renew(ctx, rack.epoch, refs, leaseExpiry); err != nil {
+		if err := client.Renew(ctx, rack.epoch, refs, leaseExpiry); err != nil {
 			r.log.Debug().Str(logging.KeyWorker, string(w.info.ID)).Err(err).Msg("attempt lease renewal failed")
 		}
 	}()
