Ignore the inventory of another worker at the same address

In the standalone system, attempts started on a worker that had taken over the address of another one: its inventory counted as that of the worker that had been there. The inventory names its worker, and that is now compared.

TestAnotherWorkerAtTheAddressGetsNoAttempts fails without the change (1 start on another worker).

--- a/runner/address_test.go
+++ b/runner/address_test.go
@@ -49,3 +49,19 @@
 		}
 	})
 }
+
+// Guards against attempts that start on another worker, at an address that their worker had.
+func TestAnotherWorkerAtTheAddressGetsNoAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.worker.info.Addr = formerAddr
+		other := newFakeWorker("w2")
+		other.info.Addr = formerAddr
+		h.do(t, func() { h.options.Workers = workersByAddr{formerAddr: other} })
+		h.acquireRack(t)
+		refused := h.apply(t, Orders{Assignments: []Assignment{assignment("a.0", 1, 100)}})
+		if starts, _ := other.counts(); len(refused) != 1 || starts != 0 {
+			t.Errorf("%d starts on another worker, refused %+v", starts, refused)
+		}
+	})
+}
--- a/runner/worker.go
+++ b/runner/worker.go
@@ -120,6 +120,10 @@
 }
 
 func (r *Runner) applyInventory(rack *ownedRack, w *worker, inventory backend.Inventory, err error, at time.Time) {
+	if err == nil && inventory.Worker.ID != w.info.ID {
+		// Another worker has started at an address that this one had.
+		err = fault.New(fault.CodeUnreachable, "poll", "worker %s answers at the address of %s", inventory.Worker.ID, w.info.ID)
+	}
 	if err != nil || inventory.Epoch != rack.epoch {
 		// A restarted worker has no ownership epoch; it has to be fenced again before it accepts requests.
 		w.fenced = w.fenced && (err != nil || inventory.Epoch > rack.epoch)
