--- a/execution/droppedworker_test.go
+++ b/execution/droppedworker_test.go
@@ -59,3 +59,25 @@
 		t.Errorf("fenced %v, the term ends: %v", w.fenced, r.failure)
 	}
 }
+
+// Guards against a leader that ends its term because a poll from before a worker was dropped is refused after the worker has
+// accepted a higher fencing token.
+func TestPollOfDroppedWorkerIsIgnored(t *testing.T) {
+	r, client, w := newDelayedRig(t)
+	r.handlePollFailure(w, r.target(w), r.clock, &workers.UnreachableError{Worker: w.id()})
+	client.setDelaying(true)
+	r.pollWorker(w, r.clock)
+	r.handleEvents()
+	r.deregister(w)
+	r.advanceClock(3 * testAttemptLease)
+	r.commitAll()
+	r.expireAttempts(r.clock)
+	if r.workers[w.id()] != nil {
+		t.Fatal("not dropped")
+	}
+	client.refuse(workers.ReasonStaleToken)
+	r.handleEvents()
+	if r.failure != nil {
+		t.Errorf("the term ends: %v", r.failure)
+	}
+}
--- a/execution/hedge_test.go
+++ b/execution/hedge_test.go
@@ -75,10 +75,18 @@
 }
 
 // fail makes the oldest delayed call time out.
-func (d *delayedWorkers) fail() {
+func (d *delayedWorkers) fail() { d.end(&workers.UnreachableError{Worker: "w", Detail: "timeout"}) }
+
+// refuse refuses the oldest delayed call.
+func (d *delayedWorkers) refuse(reason workers.Reason) {
+	d.end(&workers.RefusedError{Worker: "w", Reason: reason})
+}
+
+// end ends the oldest delayed call with an error.
+func (d *delayedWorkers) end(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.delayed[0] <- errors.WithStack(&workers.UnreachableError{Worker: "w", Detail: "timeout"})
+	d.delayed[0] <- errors.WithStack(err)
 	d.delayed = d.delayed[1:]
 }
 
