Send one throttle command for an attempt at a time

A best-effort task could go on beside a latency-critical one that was over its target although it counted as suspended. Throttle commands went out without waiting for one another, each on its own connection: suspending does not wait for the effect of a change that was made just before, and the worker may carry out the earlier command last. Nothing then sent the limit again.

The next command waits for the response to the one before, and has the latest limit. If there is no response, the attempt is stopped, as before.

--- a/execution/mitigation.go
+++ b/execution/mitigation.go
@@ -208,26 +208,44 @@
 		Float64("effect", t.interference.Effect(image, a.task.step.Image)).Msg("filler paced")
 	a.cpuPercent, a.throttledAt = cpuPercent, now
 	a.worker.throttledAt = now
+	t.sendThrottle(a)
+}
+
+// sendThrottle sends the CPU limit of an attempt, one command at a time: of two commands on different connections the worker may
+// carry out the earlier one last.
+func (t *Term) sendThrottle(a *taskAttempt) {
+	if a.throttling {
+		return
+	}
+	a.throttling = true
 	target := t.target(a.worker)
-	task, attempt := a.task.id, a.number
+	task, attempt, cpuPercent := a.task.id, a.number, a.cpuPercent
 	if target.Via != "" {
-		t.opts.Carriers.ThrottleVia(target, task, attempt, cpuPercent, func(err error) {
-			if err != nil {
-				t.handleThrottleFailure(a, err)
-			}
-		})
+		t.opts.Carriers.ThrottleVia(target, task, attempt, cpuPercent, func(err error) { t.handleThrottle(a, cpuPercent, err) })
 		return
 	}
 	t.spawn("throttle command", func() {
 		if !t.leader.Valid() {
+			t.post(func() { a.throttling = false })
 			return
 		}
-		if err := t.opts.Workers.Throttle(t.ctx, target, task, attempt, cpuPercent); err != nil {
-			t.post(func() { t.handleThrottleFailure(a, err) })
-		}
+		err := t.opts.Workers.Throttle(t.ctx, target, task, attempt, cpuPercent)
+		t.post(func() { t.handleThrottle(a, cpuPercent, err) })
 	})
 }
 
+// handleThrottle handles the response to a throttle command with a CPU limit, which may have changed since.
+func (t *Term) handleThrottle(a *taskAttempt, cpuPercent int, err error) {
+	a.throttling = false
+	if err != nil {
+		t.handleThrottleFailure(a, err)
+		return
+	}
+	if a.cpuPercent != cpuPercent && a.worker.attempts[attemptKey{a.task.id, a.number}] == a && !a.stopping {
+		t.sendThrottle(a)
+	}
+}
+
 // handleThrottleFailure stops a best-effort attempt after a throttle command failed, since its CPU limit is unknown
 // then.
 func (t *Term) handleThrottleFailure(a *taskAttempt, err error) {
--- a/execution/model.go
+++ b/execution/model.go
@@ -64,9 +64,10 @@
 	stopAt        time.Duration
 
 	// cpuPercent is the CPU limit of a best-effort task in percent of its share; throttledAt is when it was last
-	// changed.
+	// changed. throttling is set while a throttle command is in flight.
 	cpuPercent  int
 	throttledAt time.Duration
+	throttling  bool
 
 	// progress is the last reported progress in percent, -1 before the first report; progressAt is when it last
 	// changed. usage is the last reported tail latency in milliseconds for a latency-critical task, else the CPU in use
