Stop an attempt whose throttle command was not sent

An attempt counted as throttled although its throttle command was never sent, because the leadership lease had run out in the moment between the decision and the call, and was renewed afterwards. Through a carrier that was a failure already, which stops the attempt, as its CPU limit is not the one that the leader reckons with. It is one for the leader's own calls now, too.

TestUnsentThrottleIsNoThrottle fails without the change.

--- a/execution/mitigation.go
+++ b/execution/mitigation.go
@@ -6,6 +6,7 @@
 
 	"bronzehook/logging"
 	"bronzehook/placement"
+	"bronzehook/workers"
 )
 
 // Timing and steps of the mitigation of interference with latency-critical tasks.
@@ -225,11 +226,10 @@
 		return
 	}
 	t.spawn("throttle command", func() {
-		if !t.leader.Valid() {
-			t.post(func() { a.throttling = false })
-			return
+		err := error(&workers.UnreachableError{Worker: target.ID, Detail: "leadership lease expired"})
+		if t.leader.Valid() {
+			err = t.opts.Workers.Throttle(t.ctx, target, task, attempt, cpuPercent)
 		}
-		err := t.opts.Workers.Throttle(t.ctx, target, task, attempt, cpuPercent)
 		t.post(func() { t.handleThrottle(a, cpuPercent, err) })
 	})
 }
--- a/execution/throttle_test.go
+++ b/execution/throttle_test.go
@@ -53,3 +53,14 @@
 		t.Errorf("throttled to %d, then to %d, %d more", first, last, len(client.sent))
 	}
 }
+
+// Guards against an attempt that counts as throttled although its throttle command was never sent.
+func TestUnsentThrottleIsNoThrottle(t *testing.T) {
+	r, client, a := newThrottleRig(t)
+	r.leader.Invalidate()
+	r.setThrottle(a, 50, "s", 1, r.clock)
+	r.handleEvents()
+	if len(client.sent) != 0 || !a.stopping {
+		t.Errorf("%d throttle commands, stopping %v", len(client.sent), a.stopping)
+	}
+}
