--- a/execution/attemptlog.go
+++ b/execution/attemptlog.go
@@ -62,7 +62,7 @@
 
 // logRegisteredAgain logs the first registration that shows a later incarnation of a worker than the one that answered last.
 func (t *Term) logRegisteredAgain(w *worker, registration workers.Registration) {
-	if w.startTime == 0 || registration.StartTime <= w.startTime || registration.StartTime == w.node.Registration.StartTime {
+	if !w.announcesIncarnation(registration.StartTime) {
 		return
 	}
 	t.log.Info().Str(logging.KeyWorker, string(w.id())).Int64("born", registration.StartTime).Int64("answered_born", w.startTime).
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -164,10 +164,10 @@
 		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", registration.Addr).Msg("worker listed")
 	}
 	t.logRegisteredAgain(w, registration)
-	if w.node.Registration.Addr != registration.Addr || (registration.StartTime != 0 && w.startTime != 0 && registration.StartTime > w.startTime) {
-		// A new incarnation of the worker has not accepted a fencing token of this term yet.
-		w.fenced = false
-		w.incarnation++
+	if w.node.Registration.Addr != registration.Addr || w.announcesIncarnation(registration.StartTime) {
+		// A new incarnation of the worker has not accepted a fencing token of this term yet. A poll in flight may be answered
+		// by the earlier one.
+		t.raiseToken(w)
 		w.pollFailures = 0
 	}
 	if registration.Draining && !w.node.Registration.Draining {
@@ -184,6 +184,18 @@
 	}
 }
 
+// registrationCurrent reports whether the registration is that of the incarnation that answered last. Another one may differ in
+// capacity, labels and service.
+func (w *worker) registrationCurrent() bool {
+	return w.startTime == 0 || w.node.Registration.StartTime == 0 || w.node.Registration.StartTime == w.startTime
+}
+
+// announcesIncarnation reports whether a registration with a start time is the first one of an incarnation that has not
+// answered yet.
+func (w *worker) announcesIncarnation(startTime int64) bool {
+	return w.startTime != 0 && startTime > w.startTime && startTime != w.node.Registration.StartTime
+}
+
 // deregister notes that a worker has no registration any more, and removes it from the local view if it is inactive.
 func (t *Term) deregister(w *worker) {
 	w.registered = false
@@ -228,8 +240,8 @@
 func (t *Term) refreshNodes(now time.Duration) {
 	t.usableCount, t.usableCPU, t.degradedCount = 0, 0, 0
 	for _, w := range t.active {
-		usable := w.registered && w.fenced && !w.node.Registration.Draining && w.pollFailures == 0 && len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w) &&
-			now-w.clockAt <= maxClockAge
+		usable := w.registered && w.fenced && w.registrationCurrent() && !w.node.Registration.Draining && w.pollFailures == 0 &&
+			len(w.orphans) == 0 && !w.hedged && !t.isCordoned(w) && now-w.clockAt <= maxClockAge
 		if usable && !w.node.Usable {
 			t.scheduleDue = true
 		}
