Keep fencing tokens rising for workers that are dropped and register again

Cause (found by the audit and by the soak with the stricter fakes): a leader drops a worker that is unresponsive and not registered, with its count of incarnations. When the same incarnation registers again, its token starts lower than one that it has accepted from this term. It refuses, and the leader takes that for another leader and ends its term.

Change: workers that are added start above the highest count of those that were dropped, and responses to polls of a dropped worker are ignored.

--- a/execution/load.go
+++ b/execution/load.go
@@ -189,7 +189,8 @@
 	w := t.workers[id]
 	if w == nil {
 		w = &worker{
-			attempts: make(map[attemptKey]*taskAttempt), orphans: make(map[attemptKey]time.Duration),
+			incarnation: t.firstIncarnation,
+			attempts:    make(map[attemptKey]*taskAttempt), orphans: make(map[attemptKey]time.Duration),
 			node: placement.Node{Registration: workers.Registration{ID: id}},
 		}
 		w.leasesExpireAt = t.inheritedLeaseExpiry()
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -380,10 +380,13 @@
 	}
 }
 
-// dropWorker removes an active worker from the local view.
+// dropWorker removes an active worker from the local view. Responses to its polls in flight are ignored: it may be added again,
+// and refuse them as stale.
 func (t *Term) dropWorker(w *worker) {
 	delete(t.workers, w.id())
 	delete(t.workersWithAcks, w)
+	t.firstIncarnation = max(t.firstIncarnation, w.incarnation+1)
+	w.pollRound++
 	w.node.Usable = false
 	t.releaseCarrier(w)
 	t.active = slices.DeleteFunc(t.active, func(other *worker) bool { return other == w })
--- a/execution/term.go
+++ b/execution/term.go
@@ -118,6 +118,9 @@
 	// unconfirmed holds the attempts for which a command may have to be sent again.
 	unconfirmed map[*taskAttempt]struct{}
 	workers     map[workers.ID]*worker
+	// firstIncarnation is worker.incarnation of workers that are added. It exceeds that of all dropped ones, since a dropped
+	// worker that registers again may have accepted fencing tokens of this term.
+	firstIncarnation uint64
 	// active holds the workers that the term polls and places tasks on, in no order; nodes holds their capacity
 	// accounting. pools is keyed by service.
 	active []*worker
