--- a/execution/advice.go
+++ b/execution/advice.go
@@ -145,6 +145,14 @@
 	}
 }
 
+// dropTicket drops the ticket that an attempt was refused for.
+func (t *Term) dropTicket(a *taskAttempt) {
+	o := a.task.job.occurrences[a.task.id.Occurrence]
+	if o != nil && o.advice[a.task.id.Step] != nil {
+		delete(o.advice[a.task.id.Step].tickets, a.worker.id())
+	}
+}
+
 // ticketOf returns the ticket to send with the start command of an attempt; empty if none is needed or valid.
 func (t *Term) ticketOf(a *taskAttempt, now time.Duration) string {
 	o := a.task.job.occurrences[a.task.id.Occurrence]
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -144,6 +144,8 @@
 		t.logPenalty(w, "refuses: "+string(reason), w.breaker.coolDown)
 	case reason == workers.ReasonNoCapacity || reason == workers.ReasonInvalid:
 		t.penalise(w, "refuses: "+string(reason))
+	case reason == workers.ReasonTicket:
+		t.dropTicket(a)
 	}
 	if a.startsSent > 1 {
 		// Another start command had no response and may have taken effect, or may still do so.
