Add a soak fault in which workers start again and are cut off soon after

With -soak.recut, workers go down silently, start again under their IDs with a new clock, and are cut off for longer than their leases last, in half of the draws with a kill of the leading instance in between.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 	seedFlag  = flag.Int64("soak.seed", 0, "seed of a run; 0 runs the seeds of CI")
 	countFlag = flag.Int("soak.seeds", 1, "number of consecutive seeds to run, starting at soak.seed")
 	sizeFlag  = flag.String("soak.size", "small", "small (3 instances), medium (12) or large (30, under as many callers as they sustain)")
+	recutFlag = flag.Bool("soak.recut", false, "add workers that start again with a clock of their own and are cut off soon after, under longer leases")
 )
 
 // size is the scale of a run.
@@ -102,8 +103,13 @@
 	return binary
 }
 
-// maxLease is the longest attempt lease that workers grant.
-const maxLease = 5 * time.Second
+// maxLease returns the longest attempt lease that workers grant. With recuts it exceeds the one that leaders grant.
+func maxLease() time.Duration {
+	if *recutFlag {
+		return 10 * time.Second
+	}
+	return 5 * time.Second
+}
 
 // instance is one scheduler instance, run as a process, with its proxy to the store.
 type instance struct {
@@ -130,7 +136,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	command := exec.Command(i.binary, "entry", "--id="+i.name, "--region=r", "--data-centre=d",
-		"--caller-addr="+i.callerAddr, "--ready-addr="+i.readyAddr, "--store-addr="+i.storeProxy.addr(), fmt.Sprintf("--lease-ms=%d", maxLease.Milliseconds()),
+		"--caller-addr="+i.callerAddr, "--ready-addr="+i.readyAddr, "--store-addr="+i.storeProxy.addr(), fmt.Sprintf("--lease-ms=%d", maxLease().Milliseconds()),
 		"--peer-addr="+i.peerAddr, "--machines-addr="+i.machinesAddr, "--machine-turn-ms=1000",
 		"--stop-timeout-s=3", "--time-offset-file="+i.clockOffsetFile)
 	command.Stdout, command.Stderr = i.log, i.log
@@ -223,7 +229,7 @@
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	s.fleet = platformtest.NewFleet(s.store, "svc", behaviour(seed))
-	s.fleet.MaxLease = maxLease
+	s.fleet.MaxLease = maxLease()
 	t.Cleanup(s.fleet.Close)
 	if seed%2 == 0 {
 		s.fleet.CPU = s.size.scarceCPU
@@ -239,6 +245,9 @@
 		}
 		w.Addr = p.addr()
 		w.SetClockRate(1 - 0.02*random.Float64())
+		if *recutFlag {
+			w.SetClockAge(workerClockAge)
+		}
 		w.Register()
 		s.workerProxies = append(s.workerProxies, p)
 		t.Cleanup(p.close)
@@ -406,6 +415,10 @@
 	interval := 2 + s.random.Intn(4)
 	shift := time.Duration(s.random.Intn(8000)-4000) * time.Millisecond
 	targets := s.random.Perm(len(s.instances))[:1+s.random.Intn(len(s.instances))]
+	var again recut
+	if *recutFlag {
+		again = newRecut(s.random, s.size.workers)
+	}
 	group := "jobs-" + strconv.Itoa(s.random.Intn(store.GroupCount))
 	choices := []func(){
 		func() { i.restart(s.t, syscall.SIGKILL) },
@@ -429,6 +442,9 @@
 		func() { s.machines.SetFault(everyNth(1+interval/3, fault)); time.Sleep(span); s.machines.SetFault(nil) },
 		func() { i.slowDown(span) },
 	}
+	if *recutFlag {
+		choices = append(choices, func() { s.injectRecut(again) })
+	}
 	return choices[s.random.Intn(len(choices))]
 }
 
