Take registrations of an incarnation whose start time is earlier

After the wall clock of a machine was set back and its worker started again, its registration stayed that of the incarnation before, and as rows are written again only when they change, for good. A worker gets tasks only by its own registration, so it got none.

Change: rows are taken as the store orders them. A row of an earlier incarnation lets the worker wait for its own row.

Measured: TestRegistrationWithEarlierStartTimeIsTaken fails without it.

--- a/execution/restart_test.go
+++ b/execution/restart_test.go
@@ -22,16 +22,21 @@
 	}
 }
 
+// registerAs applies a registration of the incarnation of a worker with a start time.
+func (r *rig) registerAs(w *worker, startTime int64) {
+	r.opts.ParseRegistration = func(store.Row) (workers.Registration, error) {
+		registration := w.node.Registration
+		registration.StartTime = startTime
+		return registration, nil
+	}
+	r.applyRegistration(store.Row{Key: store.Key{Table: "servers", Name: string(w.id())}})
+}
+
 // Guards against tasks that are placed on a new incarnation because the earlier one has answered a poll before it ended.
 func TestResponseFromBeforeRestartDoesNotFence(t *testing.T) {
 	for name, restart := range map[string]func(r *rig, w *worker){
 		"registered again": func(r *rig, w *worker) {
-			r.opts.ParseRegistration = func(store.Row) (workers.Registration, error) {
-				registration := w.node.Registration
-				registration.StartTime = laterStartTime
-				return registration, nil
-			}
-			r.applyRegistration(store.Row{Key: store.Key{Table: "servers", Name: string(w.id())}})
+			r.registerAs(w, laterStartTime)
 		},
 		"maintenance begun": func(r *rig, w *worker) {
 			r.finishMachine(&wave{Progress: maintenance.NewProgress(maintenance.SeenWave{})}, w.node.Registration.Machine)
@@ -73,13 +78,27 @@
 	if usable() {
 		t.Error("usable by the registration of the earlier incarnation")
 	}
-	r.opts.ParseRegistration = func(store.Row) (workers.Registration, error) {
-		registration := w.node.Registration
-		registration.StartTime = laterStartTime
-		return registration, nil
-	}
-	r.applyRegistration(store.Row{Key: store.Key{Table: "servers", Name: string(w.id())}})
+	r.registerAs(w, laterStartTime)
 	if !usable() {
 		t.Error("not usable after its registration was read")
 	}
 }
+
+// Guards against a worker that gets no work any more after the wall clock of its machine was set back and it started again.
+func TestRegistrationWithEarlierStartTimeIsTaken(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.pollAs(w, laterStartTime, 1000)
+	r.registerAs(w, laterStartTime)
+	r.pollAs(w, laterStartTime, 1001)
+	const startTime = testStartTime + 1
+	r.registerAs(w, startTime)
+	for range 2 {
+		// The second poll has the raised fencing token.
+		r.pollAs(w, startTime, 10)
+	}
+	r.refreshNodes(r.clock)
+	if !w.node.Usable {
+		t.Errorf("not usable, registration of %d", w.node.Registration.StartTime)
+	}
+}
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -157,9 +157,6 @@
 		return
 	}
 	w := t.workerOf(id)
-	if w.startTime != 0 && registration.StartTime != 0 && registration.StartTime < w.startTime {
-		return
-	}
 	if !w.registered && !t.loading {
 		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", registration.Addr).Msg("worker listed")
 	}
