Count a done termination of an attempt that an earlier term has lost

The workers reported to the next term that the attempts were done. It acknowledged that and ran the tasks again, as the record does not say which attempts were lost.

Change: a done termination of the latest ended attempt counts if the task is not done: no term can have counted it. A failure may have been counted, and does not.

Measured: TestDoneOfAttemptLostInEarlierTermCounts fails without it.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -139,7 +139,7 @@
 	// An earlier term may have counted the termination already; task.lastEnded, restored from the progress record,
 	// shows that. The termination of a lost attempt still counts: its task may be done, and a failure counts even if
 	// reported late.
-	if (termination.Attempt > task.lastEnded || termination.Attempt == task.lostAttempt) && !task.done {
+	if !task.done && (termination.Attempt > task.lastEnded || termination.Attempt == task.lostAttempt || task.lostEarlier(termination)) {
 		task.lastEnded = max(task.lastEnded, termination.Attempt)
 		task.lostAttempt = 0
 		t.countTermination(w, task, termination, ran)
@@ -148,6 +148,12 @@
 	t.addAck(w, pendingAck{number: termination.Number, job: j, sequence: j.sequence})
 }
 
+// lostEarlier reports whether an earlier term has lost the attempt of a termination. No term has counted that the attempt was
+// done, or the task would be done.
+func (t *task) lostEarlier(termination workers.Termination) bool {
+	return termination.Attempt == t.lastEnded && termination.Cause == workers.CauseDone && !t.step.LongRunning
+}
+
 // addAck queues the acknowledgement of a termination until the change of its job is stored.
 func (t *Term) addAck(w *worker, a pendingAck) {
 	w.pendingAcks = append(w.pendingAcks, a)
--- a/execution/unresponsive_test.go
+++ b/execution/unresponsive_test.go
@@ -110,6 +110,29 @@
 	}
 }
 
+// Guards against a done task that runs again: its attempt was lost in an earlier term and its termination is reported to this
+// one. A failure may have been counted by the earlier term.
+func TestDoneOfAttemptLostInEarlierTermCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		cause workers.Cause
+		done  bool
+	}{
+		"done":   {workers.CauseDone, true},
+		"failed": {workers.CauseFailed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, memory.New())
+			w := r.addWorker("w", 1000)
+			j := r.submit("a", oneStep(1, 100))
+			r.restoreTask(j, &jobs.TaskRecord{Attempt: 1, Ended: 1})
+			r.reportTerminations(w, workers.Termination{Number: 1, Task: jobs.Task{Job: "a"}, Attempt: 1, Cause: c.cause})
+			if task := j.occurrences[0].steps[0][0]; task.done != c.done || task.failures != 0 {
+				t.Errorf("done %v, %d failures", task.done, task.failures)
+			}
+		})
+	}
+}
+
 // Guards against a worker that is never polled again: it was unresponsive until its last attempt lease had expired, so
 // that it had no attempts left to poll for, and its capacity stayed unused for the rest of the term.
 func TestUnresponsiveWorkerIsPolledAfterAttemptLeasesExpire(t *testing.T) {
