Poll a worker that reports no clock no more often than others

Cause (found by the audit): a worker without a clock was polled in each pass once its clock would have been a minute old.

Change: only a clock that was read is read again.

Measured: nothing; read in the code.

--- a/execution/model.go
+++ b/execution/model.go
@@ -346,5 +346,5 @@
 // needsPolling reports whether the worker has to be polled.
 func (w *worker) needsPolling(now time.Duration) bool {
 	return !w.fenced || w.pollFailures > 0 || len(w.attempts) > 0 || len(w.orphans) > 0 || w.ackedUpTo < w.appliedUpTo ||
-		now-w.clockAt > clockReadInterval
+		(w.clockAt > 0 && now-w.clockAt > clockReadInterval)
 }
