Register the restarted worker in the test of its terminations

Cause: tasks are not placed by the registration of an earlier incarnation any more, as a later one may be of another kind. The test let the worker start again without a registration and waited for tasks there, which reached it only because starts were not bound to their incarnation.

Change: the worker registers after the job was submitted. Everything that the test checks is unchanged.

Measured: passes 3 of 3 with the race detector; before this change it failed (job 3 did not succeed within 15 s).

--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -35,6 +35,8 @@
 	time.Sleep(300 * time.Millisecond)
 	worker.RestartUnregistered()
 	submit(jobID(3), `"count":5`)
+	// Tasks are placed by the registration of the present incarnation only.
+	worker.Register()
 	s.waitFor("the job succeeds", func() bool { return s.succeeded(jobID(3)) })
 	for _, violation := range s.fleet.Violations() {
 		t.Error(violation)
