Do not set a worker aside for a hedged start that was not sent

It was marked so before the start was sent; if that only found that the incarnation is gone, nothing was open, and no poll was due for up to a minute.

Change: it is marked when a second start is under way.

Measured: TestHedgeThatIsNotSentLeavesWorkerUsable fails without it.

--- a/execution/commands.go
+++ b/execution/commands.go
@@ -215,8 +215,10 @@
 		case a.hedgeAt > 0 && a.phase != phaseSent:
 			a.hedgeAt = 0
 		case a.hedgeAt > 0 && now >= a.hedgeAt && t.hedges.take(now):
-			a.worker.hedged = true
 			t.sendStart(a)
+			if a.startsPending > 1 {
+				a.worker.hedged = true
+			}
 		}
 	}
 }
--- a/execution/incarnation_test.go
+++ b/execution/incarnation_test.go
@@ -237,3 +237,23 @@
 		t.Errorf("%d polls, clock read %v ago", n, r.clock-w.clockAt)
 	}
 }
+
+// Guards against a worker that gets nothing until it is polled again, as a start was to be hedged that was not sent.
+func TestHedgeThatIsNotSentLeavesWorkerUsable(t *testing.T) {
+	r, client, w := newDelayedRig(t)
+	r.submit("a", oneStep(1, 100))
+	client.setDelaying(true)
+	r.scheduleAndCommit()
+	client.setDelaying(false)
+	for range 2 {
+		// The second poll has the raised fencing token.
+		r.pollAs(w, laterStartTime, 10)
+	}
+	r.advanceClock(hedgeAfter)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+	r.refreshNodes(r.clock)
+	if len(w.attempts) != 0 || !w.node.Usable {
+		t.Errorf("%d attempts, usable %v", len(w.attempts), w.node.Usable)
+	}
+}
