Say of a start that was not sent that it was not

Change: the error says that the start was not sent, also through a carrier. An attempt of which no start was sent is lost after the repeated one, and its task is placed again. The test of foreign clocks now fails if no call reaches the worker that has started again, and two comments say what still holds.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -228,7 +228,7 @@
 }
 
 func startOf(job, text string) workers.Start {
-	return workers.Start{Target: target(carrierName), Task: jobs.Task{Job: jobs.ID(job), Step: 1, Index: 2}, Attempt: 3, Text: text, LeaseExpiry: 500, Ticket: "t"}
+	return workers.Start{Target: target(carrierName), Task: jobs.Task{Job: jobs.ID(job), Step: 1, Index: 2}, Attempt: 3, Text: text, StartTime: 9, LeaseExpiry: 500, Ticket: "t"}
 }
 
 // Guards against a call that the carrier makes with other contents than the leader's, or whose result gets lost.
@@ -282,7 +282,15 @@
 	if !errors.As(err, &refused) || refused.Reason != workers.ReasonStaleToken || refused.Worker != "w" {
 		t.Errorf("refused start: %v", err)
 	}
+	f.carried.err = errors.WithStack(&workers.NotSentError{Worker: "w", Detail: "no connection"})
+	var notSent *workers.NotSentError
+	if err := f.start(startOf("a", "x")).err; !errors.As(err, &notSent) || notSent.Worker != "w" {
+		t.Errorf("start that was not sent: %v", err)
+	}
 	f.carried.err = errors.WithStack(&workers.UnreachableError{Worker: "w", Detail: "time-out"})
+	if err := f.start(startOf("a", "x")).err; errors.As(err, &notSent) {
+		t.Errorf("start without a response: %v", err)
+	}
 	if got := f.wait(f.poll(workers.PollRequest{Target: target(carrierName)})); fault.CodeOf(got.err) != fault.CodeUnreachable {
 		t.Errorf("poll without a response: %v", got.err)
 	}
--- a/carrier/link.go
+++ b/carrier/link.go
@@ -280,6 +280,8 @@
 	switch {
 	case r.Refused != "":
 		return errors.WithStack(&workers.RefusedError{Worker: id, Reason: r.Refused})
+	case r.NotSent:
+		return errors.WithStack(&workers.NotSentError{Worker: id, Detail: r.Failure})
 	case r.Failure != "":
 		return errors.WithStack(&workers.UnreachableError{Worker: id, Detail: r.Failure})
 	}
--- a/carrier/message.go
+++ b/carrier/message.go
@@ -71,12 +71,14 @@
 	return workers.Target{ID: c.Worker, Addr: c.Addr, FencingToken: c.FencingToken}
 }
 
-// result is the result of one call. Failure is set if the worker did not answer, Refused if it refused the call.
+// result is the result of one call. Failure is set if the worker did not answer, Refused if it refused the call, and NotSent, with
+// Failure, if the call is a start that was not sent.
 type result struct {
 	_         struct{} `cbor:",toarray"`
 	ID        uint64
 	Refused   workers.Reason
 	Failure   string
+	NotSent   bool
 	Clock     int64
 	Inventory *inventory
 }
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -174,9 +174,12 @@
 		answer.Failure = "unknown kind of call"
 	}
 	var refused *workers.RefusedError
+	var notSent *workers.NotSentError
 	switch {
 	case errors.As(err, &refused):
 		answer.Refused = refused.Reason
+	case errors.As(err, &notSent):
+		answer.Failure, answer.NotSent = notSent.Detail, true
 	case err != nil:
 		answer.Failure = err.Error()
 	}
--- a/entry/foreignclock_test.go
+++ b/entry/foreignclock_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	*site
 	first, other *platformtest.Worker
 	leader       *process
+	// callsReached counts the calls that have reached the worker since it started again.
+	callsReached atomic.Int64
 }
 
 func newRestartedSite(t *testing.T) *restartedSite {
@@ -51,6 +54,7 @@
 	s.waitFor("a call is on its way", func() bool { return r.first.CallsHeld("/-/run-start")+r.first.CallsHeld("/-/hold") > 0 })
 	startedAgain := time.Now()
 	r.first.SetFault(func(call *http.Request) platformtest.Fault {
+		r.callsReached.Add(1)
 		if call.URL.Path == "/-/hold" && (r.first.Running() > 0 || time.Since(startedAgain) < unnoticedRestart) {
 			return platformtest.FaultRequestLost
 		}
@@ -60,6 +64,9 @@
 	for time.Since(startedAgain) < heldCallTime && r.first.Running() == 0 {
 		time.Sleep(pollInterval)
 	}
+	if r.callsReached.Load() == 0 {
+		t.Fatal("no call has reached the worker that has started again")
+	}
 	return r
 }
 
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -80,6 +80,7 @@
 	lostNotListed    = "not listed by its worker"
 	lostRestarted    = "its worker has restarted"
 	lostLeaseExpired = "its lease has run out"
+	lostNotSent      = "its start could not be sent"
 	lostRefused      = "refused: "
 )
 
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -178,6 +178,10 @@
 		Str(logging.KeyWorker, string(a.worker.id())).AnErr("error", err).Int("open", a.startsPending).
 		Msg("order to start without an answer")
 	t.lostResponses.note(a.worker.id(), now)
+	var notSent *workers.NotSentError
+	if errors.As(err, &notSent) {
+		a.startsUnsent++
+	}
 	if a.startsPending > 0 {
 		// Another start command for the attempt may still be answered.
 		return
@@ -187,6 +191,11 @@
 		t.unconfirmed[a] = struct{}{}
 		return
 	}
+	if a.startsUnsent == a.startsSent {
+		a.task.avoidWorker = a.worker.id()
+		t.markLost(a, lostNotSent)
+		return
+	}
 	a.startsSent = maxStartCommands
 	t.abandonStart(a, "order to start without an answer")
 }
--- a/execution/latestart_test.go
+++ b/execution/latestart_test.go
@@ -128,3 +128,37 @@
 		t.Errorf("the poll waits for %v", wait)
 	}
 }
+
+// Guards against a task that waits for its lease although no start for it was sent.
+func TestStartsThatWereNotSentLoseTheirAttempt(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.client.err = &workers.NotSentError{Worker: w.id()}
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	if a := r.onlyAttempt(w); a.stopping {
+		t.Fatal("stopped before the start was repeated")
+	}
+	r.advanceClock(startRetryDelay)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+	if n := r.client.startCount(); len(w.attempts) != 0 || n != maxStartCommands {
+		t.Errorf("%d attempts after %d starts that were not sent", len(w.attempts), n)
+	}
+}
+
+// Guards against two attempts of a task: one start had no response and may be carried out, only the repeated one was not sent.
+func TestStartThatMayHaveBeenSentKeepsItsAttempt(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 1000)
+	r.client.err = &workers.UnreachableError{Worker: w.id()}
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	r.client.err = &workers.NotSentError{Worker: w.id()}
+	r.advanceClock(startRetryDelay)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+	if a := r.onlyAttempt(w); !a.stopping {
+		t.Error("not stopped")
+	}
+}
--- a/execution/metrics.go
+++ b/execution/metrics.go
@@ -124,6 +124,8 @@
 		return "restarted"
 	case reason == lostLeaseExpired:
 		return "lease-expired"
+	case reason == lostNotSent:
+		return "not-sent"
 	case strings.HasPrefix(reason, lostRefused):
 		return "refused"
 	}
--- a/execution/model.go
+++ b/execution/model.go
@@ -58,6 +58,8 @@
 	// command whose response is overdue is sent a second time; 0 if it is not.
 	startsSent, startsPending int
 	hedgeAt                   time.Duration
+	// startsUnsent counts those of the start commands that turned out not to have been sent.
+	startsUnsent int
 	// retryDue is set while a start command without a response is to be sent again at retryAt.
 	retryDue bool
 	// stopping is set once the attempt is to be stopped, stopConfirmed once a stop command was answered. stopsSent counts
@@ -84,8 +86,9 @@
 // ruledOutBy reports whether the response to a poll that does not list the attempt proves that it is not running and will
 // not start. That it is not listed does not prove it: a start command without a response may be carried out after newer
 // calls. The worker refuses it from then on if the poll had a higher fencing token than the command, or if the worker
-// had confirmed the attempt, or a stop command for it, before the poll was sent. Neither holds for a later incarnation of
-// the worker, which a start command that is still open may reach.
+// had confirmed the attempt, or a stop command for it, before the poll was sent. A later incarnation of the worker is
+// reached by no start command for the earlier one, but which of them has answered is not asked here: while a command is open,
+// nothing is ruled out.
 func (a *taskAttempt) ruledOutBy(request workers.PollRequest, polledAt time.Duration) bool {
 	if a.phase == phaseRecording || a.startsPending > 0 {
 		return false
@@ -329,7 +332,8 @@
 const openCommandTime = 2500 * time.Millisecond
 
 // noteForeignLeases notes that start commands with lease expiries by the clock of an earlier incarnation may have reached the
-// present one, whose clock is another: it may have granted leases up to the limit of workers.
+// present one, whose clock is another: it may have granted leases up to the limit of workers. Clients do not send such commands
+// (see workers.Client); this is a second line of defence.
 func (w *worker) noteForeignLeases(now, limit time.Duration) {
 	expiry := now + openCommandTime + time.Duration(float64(limit)*maxClockDriftFactor) + leaseExpiryMargin
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -146,8 +146,9 @@
 // Client sends commands to workers. Errors are *RefusedError if the worker replied and did nothing, else errors with
 // CodeUnreachable, after which the command may have been executed or may still be.
 type Client interface {
-	// Start returns the worker's clock. It refuses with ReasonRestarted, without sending the command, where the command could
-	// reach another incarnation than that of the command, which may have the same ID and address.
+	// Start returns the worker's clock. It refuses with ReasonRestarted, without sending the command, where the command would
+	// reach another incarnation than that of the command, which may have the same ID and address. The error is a *NotSentError
+	// where that is not known.
 	Start(ctx context.Context, command Start) (int64, error)
 	Stop(ctx context.Context, target Target, task jobs.Task, attempt int) error
 	// Poll leaves out LeaseExpiry and AckUpTo wherever the call may reach another incarnation than that of the request,
@@ -225,3 +226,18 @@
 
 // Code implements fault.Coded.
 func (e *UnreachableError) Code() fault.Code { return fault.CodeUnreachable }
+
+// NotSentError reports a start command that was not sent, so that it is certainly not executed: there was no connection, or
+// no answer which incarnation a new one reaches.
+type NotSentError struct {
+	Worker ID
+	Detail string
+}
+
+// Error names the worker.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("start not sent to worker %s: %s", e.Worker, e.Detail)
+}
+
+// Code implements fault.Coded.
+func (e *NotSentError) Code() fault.Code { return fault.CodeUnreachable }
