Ignore the record of commands of a wave that has ended

The leader that ended another wave was killed between the state of that wave and the deletion of the record of its commands. The next leader took a command in the record for unconfirmed and cordoned its machine for the ended wave, for good; the other wave waited for that machine, as it had the least work.

Change: the record of an ended wave is not applied, and a wave that another leader has ended uncordons its machines.

Measured: TestRecordOfFinishedWaveCordonsNothing and TestWaveEndedElsewhereUncordonsItsMachines fail without it.

--- a/execution/commandrecord.go
+++ b/execution/commandrecord.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// deleteCommandRecord deletes the record of a wave that has succeeded. A record that is left behind does no harm: no late
+// deleteCommandRecord deletes the record of a wave that has succeeded. A record that is left behind is ignored: no late
 // command for the wave has an effect any more.
 func (t *Term) deleteCommandRecord(w *wave) {
 	if w.recordVersion == 0 {
--- a/execution/maintenance.go
+++ b/execution/maintenance.go
@@ -308,7 +308,10 @@
 				t.applyWaveStatus(w, row)
 			}
 			for _, row := range commands.Rows {
-				t.applyCommandRecord(w, row)
+				// The leader that ended the wave may have left the record behind.
+				if !w.done {
+					t.applyCommandRecord(w, row)
+				}
 			}
 		})
 	})
@@ -319,6 +322,11 @@
 	w.version = row.Version
 	w.statusStored = w.statusStored || row.Version != 0
 	w.done = row.Version != 0 && string(row.Value) == string(t.opts.WaveStatus(w.Number, true).Value)
+	if w.done {
+		for machine := range w.Draining {
+			t.uncordon(w, machine)
+		}
+	}
 }
 
 // storeWaveStatus stores the status of a wave. It is not conditional on leadership: maintenance that has begun cannot be
--- a/execution/maintenance_test.go
+++ b/execution/maintenance_test.go
@@ -322,6 +322,40 @@
 	}
 }
 
+// Guards against a machine that gets no work any more, and keeps other waves waiting, because the leader that ended its wave was gone
+// before it deleted the record of the wave's commands.
+func TestRecordOfFinishedWaveCordonsNothing(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorkerOn("w", "a", 1000)
+	record := store.Put{Key: store.MaintenanceKey(testWave), Value: jobs.Encode(&jobs.MaintenanceCommands{Sent: []string{"a"}})}
+	if _, err := r.table.Commit(r.ctx, store.Txn{Puts: []store.Put{waveStatus(testWave, true), record}}); err != nil {
+		t.Fatal(err)
+	}
+	addMaintenance(r, 1, time.Minute, "a")
+	r.maintainFor(2 * time.Second)
+	if !w.node.Usable || r.isCordoned(w) {
+		t.Errorf("usable %v, cordoned %v", w.node.Usable, r.isCordoned(w))
+	}
+}
+
+// Guards against a machine that stays cordoned after another leader has ended its wave.
+func TestWaveEndedElsewhereUncordonsItsMachines(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorkerOn("w", "a", 1000)
+	r.submit("j", oneStep(1, 100))
+	r.scheduleAndCommit()
+	addMaintenance(r, 1, time.Minute, "a")
+	r.maintainFor(time.Second)
+	if !r.isCordoned(w) {
+		t.Fatal("the worker is not cordoned")
+	}
+	row := waveStatus(testWave, true)
+	r.applyWaveStatus(r.waves[testWave], store.Row{Key: row.Key, Value: row.Value, Version: 99})
+	if r.isCordoned(w) {
+		t.Error("cordoned")
+	}
+}
+
 // Guards against more machines down than allowed after a change of leader: a command of the first leader had no response and
 // is carried out while the next one has another machine down. The first had recorded it, so the next one commands that
 // machine first, and counts it as down until then.
