Bound the time of an open command by all its steps

Cause: since each step of a command has its time-out, a start may be under way for 2.4 s, through a carrier for 2.9 s.

Change: openCommandTime is 3 s.

Measured: the tests of foreign clocks pass; it bounds a wait of the second line of defence only.

--- a/execution/model.go
+++ b/execution/model.go
@@ -329,7 +329,7 @@
 
 // openCommandTime bounds how long a command may be under way, through a carrier or not, before it is given up: a start may
 // first wait for the answer which incarnation its connection reaches.
-const openCommandTime = 2500 * time.Millisecond
+const openCommandTime = 3 * time.Second
 
 // noteForeignLeases notes that start commands with lease expiries by the clock of an earlier incarnation may have reached the
 // present one, whose clock is another: it may have granted leases up to the limit of workers. Clients do not send such commands
