--- a/soak/recut_test.go
+++ b/soak/partition_test.go
@@ -10,9 +10,9 @@
 	"bronzehook/store"
 )
 
-// recut is a fault in which workers start again under their IDs after they have been down silently, and are cut off soon after
+// partitionedRestart is a fault in which workers start again under their IDs after they have been down silently, and are cut off soon after
 // for longer than their leases last.
-type recut struct {
+type partitionedRestart struct {
 	// workers holds the indexes of the workers.
 	workers                 []int
 	down, reachable, cutOff time.Duration
@@ -24,8 +24,8 @@
 // is far ahead of the clock of a later one.
 const workerClockAge = time.Hour
 
-func newRecut(random *rand.Rand, workers int) recut {
-	return recut{
+func newPartitionedRestart(random *rand.Rand, workers int) partitionedRestart {
+	return partitionedRestart{
 		workers: random.Perm(workers)[:1+random.Intn(workers/2)],
 		down:    time.Duration(300+random.Intn(600)) * time.Millisecond,
 		// The shorter times end before the leader notices the restart.
@@ -35,7 +35,7 @@
 	}
 }
 
-func (s *scenario) injectRecut(r recut) {
+func (s *scenario) injectPartitionedRestart(r partitionedRestart) {
 	workers := s.fleet.Workers()
 	for _, n := range r.workers {
 		workers[n].Crash()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,10 +28,10 @@
 )
 
 var (
-	seedFlag  = flag.Int64("soak.seed", 0, "seed of a run; 0 runs the seeds of CI")
-	countFlag = flag.Int("soak.seeds", 1, "number of consecutive seeds to run, starting at soak.seed")
-	sizeFlag  = flag.String("soak.size", "small", "small (3 instances), medium (12) or large (30, under as many callers as they sustain)")
-	recutFlag = flag.Bool("soak.recut", false, "add workers that start again with a clock of their own and are cut off soon after, under longer leases")
+	seedFlag      = flag.Int64("soak.seed", 0, "seed of a run; 0 runs the seeds of CI")
+	countFlag     = flag.Int("soak.seeds", 1, "number of consecutive seeds to run, starting at soak.seed")
+	sizeFlag      = flag.String("soak.size", "small", "small (3 instances), medium (12) or large (30, under as many callers as they sustain)")
+	partitionFlag = flag.Bool("soak.partition", false, "add workers that start again with a clock of their own and are cut off soon after, under longer leases")
 )
 
 // size is the scale of a run.
@@ -103,9 +103,9 @@
 	return binary
 }
 
-// maxLease returns the longest attempt lease that workers grant. With recuts it exceeds the one that leaders grant.
+// maxLease returns the longest attempt lease that workers grant. With partitioned workers it exceeds the one that leaders grant.
 func maxLease() time.Duration {
-	if *recutFlag {
+	if *partitionFlag {
 		return 10 * time.Second
 	}
 	return 5 * time.Second
@@ -245,7 +245,7 @@
 		}
 		w.Addr = p.addr()
 		w.SetClockRate(1 - 0.02*random.Float64())
-		if *recutFlag {
+		if *partitionFlag {
 			w.SetClockAge(workerClockAge)
 		}
 		w.Register()
@@ -415,9 +415,9 @@
 	interval := 2 + s.random.Intn(4)
 	shift := time.Duration(s.random.Intn(8000)-4000) * time.Millisecond
 	targets := s.random.Perm(len(s.instances))[:1+s.random.Intn(len(s.instances))]
-	var again recut
-	if *recutFlag {
-		again = newRecut(s.random, s.size.workers)
+	var again partitionedRestart
+	if *partitionFlag {
+		again = newPartitionedRestart(s.random, s.size.workers)
 	}
 	group := "jobs-" + strconv.Itoa(s.random.Intn(store.GroupCount))
 	choices := []func(){
@@ -442,8 +442,8 @@
 		func() { s.machines.SetFault(everyNth(1+interval/3, fault)); time.Sleep(span); s.machines.SetFault(nil) },
 		func() { i.slowDown(span) },
 	}
-	if *recutFlag {
-		choices = append(choices, func() { s.injectRecut(again) })
+	if *partitionFlag {
+		choices = append(choices, func() { s.injectPartitionedRestart(again) })
 	}
 	return choices[s.random.Intn(len(choices))]
 }
