--- a/entry/foreignclock_test.go
+++ b/entry/foreignclock_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -73,7 +74,13 @@
 // submitTask submits a job of one task.
 func (s *site) submitTask(id string) {
 	s.t.Helper()
-	body := []byte(`{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1}]}`)
+	s.submitTasks(id, 1)
+}
+
+// submitTasks submits a job of one step with a number of tasks.
+func (s *site) submitTasks(id string, count int) {
+	s.t.Helper()
+	body := fmt.Appendf(nil, `{"spec":"x","steps":[{"count":%d,"cpu":100,"mem_mb":1}]}`, count)
 	if status := s.call(http.MethodPost, id, body); status != http.StatusOK {
 		s.t.Fatalf("job %s: status %d", id, status)
 	}
@@ -89,8 +96,7 @@
 	}
 }
 
-// Guards against two attempts of a task at work after a start by the clock of an earlier incarnation, for which the worker
-// grants its longest lease, a cut of the worker and a new leader.
+// Guards against two running attempts: a lease by an earlier incarnation's clock outlasts what the next leader assumes.
 func TestForeignClockLeaseDoesNotOutliveTakeover(t *testing.T) {
 	t.Parallel()
 	r := newRestartedSite(t)
@@ -102,8 +108,7 @@
 	r.checkNextAttempt()
 }
 
-// Guards against two attempts of a task at work after a start by the clock of an earlier incarnation, for which the worker
-// grants its longest lease, and a cut of the worker before the leader notices the restart.
+// Guards against two running attempts: a lease by another clock on a worker cut off before its restart is noticed.
 func TestForeignClockLeaseDoesNotOutliveCutOff(t *testing.T) {
 	t.Parallel()
 	r := newRestartedSite(t)
--- a/entry/slowworker_test.go
+++ b/entry/slowworker_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"net/http"
-	"strconv"
 	"testing"
 	"time"
 
 	"bronzehook/platform/platformtest"
 )
 
-// Guards against a worker whose tasks never start, or lapse, because each call to it takes long: starts that wait for others had
-// little of their time left, and used up the connections.
+// Guards against tasks of a slow worker that never start or lapse because queued starts time out and use up connections.
 func TestSlowWorkerStartsAndKeepsItsTasks(t *testing.T) {
 	t.Parallel()
 	const (
@@ -29,10 +27,7 @@
 		time.Sleep(answerDelay)
 		return platformtest.FaultNone
 	})
-	body := []byte(`{"spec":"x","steps":[{"count":` + strconv.Itoa(tasks) + `,"cpu":100,"mem_mb":1}]}`)
-	if status := s.call(http.MethodPost, jobID(2), body); status != http.StatusOK {
-		t.Fatalf("status %d", status)
-	}
+	s.submitTasks(jobID(2), tasks)
 	s.waitAtMost(2*longLease, "the job succeeds", func() bool { return s.succeeded(jobID(2)) })
 	for _, finish := range s.fleet.Finishes() {
 		if finish.Cause == "lapsed" {
--- a/execution/attemptlog.go
+++ b/execution/attemptlog.go
@@ -56,17 +56,14 @@
 // logIncarnation logs that another incarnation of a worker has answered than the one before.
 func (t *Term) logIncarnation(w *worker, startTime int64) {
 	t.log.Warn().Str(logging.KeyWorker, string(w.id())).Int64("born", startTime).Int("attempts", len(w.attempts)).
-		Int64("acknowledged", w.ackedUpTo).Int("starts", len(w.startsSentAt)).Dur("lease_left", w.leasesExpireAt-t.opts.Clock()).
+		Int64("acknowledged", w.ackedUpTo).Int("starts", len(w.startsSincePoll)).Dur("lease_left", w.leasesExpireAt-t.opts.Clock()).
 		Msg("worker started again")
 }
 
-// logRegisteredAgain logs the first registration that shows a later incarnation of a worker than the one that answered last.
-func (t *Term) logRegisteredAgain(w *worker, registration workers.Registration) {
-	if !w.announcesIncarnation(registration.StartTime) {
-		return
-	}
+// logAnnouncedIncarnation logs a registration that announces a later incarnation of a worker than the one that answered last.
+func (t *Term) logAnnouncedIncarnation(w *worker, registration workers.Registration) {
 	t.log.Info().Str(logging.KeyWorker, string(w.id())).Int64("born", registration.StartTime).Int64("answered_born", w.startTime).
-		Int("attempts", len(w.attempts)).Int("starts", len(w.startsSentAt)).Msg("worker listed with a later start")
+		Int("attempts", len(w.attempts)).Int("starts", len(w.startsSincePoll)).Msg("worker listed with a later start")
 }
 
 // logForeignClock logs a response to a start command with a clock that the incarnation that answered last can't have: another
@@ -97,5 +94,5 @@
 
 // forgetStartsBefore drops the times of the start commands that were sent before an answered poll.
 func (w *worker) forgetStartsBefore(polledAt time.Duration) {
-	w.startsSentAt = slices.DeleteFunc(w.startsSentAt, func(sentAt time.Duration) bool { return sentAt < polledAt })
+	w.startsSincePoll = slices.DeleteFunc(w.startsSincePoll, func(sentAt time.Duration) bool { return sentAt < polledAt })
 }
--- a/execution/attemptlog_test.go
+++ b/execution/attemptlog_test.go
@@ -171,8 +171,8 @@
 	checkFields(t, fieldsOf(t, out, "worker started again"), map[string]string{
 		"attempts": "3", "born": strconv.Itoa(laterStartTime), "lease_left": left, "starts": "2", "worker": "w",
 	})
-	if len(w.startsSentAt) != 0 {
-		t.Errorf("%d start commands count again at the next restart", len(w.startsSentAt))
+	if len(w.startsSincePoll) != 0 {
+		t.Errorf("%d start commands count again at the next restart", len(w.startsSincePoll))
 	}
 }
 
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -108,7 +108,7 @@
 	t.markChanged(j)
 }
 
-// noteResolved observes for how long an inherited attempt was not known to be running or not, which ends now.
+// noteResolved records how long the state of an inherited attempt was unknown, now that it is known.
 func (t *Term) noteResolved(a *taskAttempt, outcome string, now time.Duration) {
 	if a.phase == phaseInherited {
 		t.opts.Metrics.inheritedResolved(outcome, now-t.startedAt)
--- a/execution/commandrecord_test.go
+++ b/execution/commandrecord_test.go
@@ -13,8 +13,7 @@
 	"bronzehook/store/memory"
 )
 
-// Guards against a machine that gets no work any more, and keeps other waves waiting, because the leader that ended its wave was gone
-// before it deleted the record of the wave's commands.
+// Guards against a machine that stays cordoned because the leader that ended its wave left the command record behind.
 func TestRecordOfFinishedWaveCordonsNothing(t *testing.T) {
 	r := newRig(t, memory.New())
 	w := r.addWorkerOn("w", "a", 1000)
--- a/execution/commands.go
+++ b/execution/commands.go
@@ -35,8 +35,8 @@
 		t.stop(a, "no longer needed")
 		return
 	}
-	if a.startTime != w.startTime {
-		// The task was placed by what the earlier incarnation was: its capacity, labels and ticket.
+	if a.workerStartTime != w.startTime {
+		// The task was placed by the capacity, labels and ticket of the earlier incarnation.
 		t.markLost(a, lostRestarted)
 		return
 	}
@@ -53,12 +53,12 @@
 		t.unconfirmed[a] = struct{}{}
 	}
 	w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
-	w.startSentAt, w.startsSentAt = now, append(w.startsSentAt, now)
+	w.lastStartAt, w.startsSincePoll = now, append(w.startsSincePoll, now)
 	target := t.target(w)
 	a.token = target.FencingToken
 	command := workers.Start{
 		Target: target, Task: a.task.id, Attempt: a.number, Text: a.task.job.spec.Text,
-		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), StartTime: a.startTime, LeaseExpiry: t.leaseExpiry(w, now),
+		Checkpoint: a.task.checkpoint, Ticket: t.ticketOf(a, now), StartTime: a.workerStartTime, LeaseExpiry: t.leaseExpiry(w, now),
 	}
 	if command.Via != "" {
 		t.opts.Carriers.StartVia(command, func(clock int64, err error) { t.handleStart(a, command.Target, now, clock, err) })
@@ -119,9 +119,16 @@
 		t.handleStartWithoutResponse(a, now, err)
 		return
 	}
+	t.handleRefusedStart(a, sentTo, sentAt, refused.Reason)
+}
+
+// handleRefusedStart handles the refusal of a start command that was sent at sentAt.
+func (t *Term) handleRefusedStart(a *taskAttempt, sentTo workers.Target, sentAt time.Duration, reason workers.Reason) {
+	now := t.opts.Clock()
+	w := a.worker
 	t.log.Warn().Stringer(logging.KeyTask, a.task.id).Int(logging.KeyAttempt, a.number).
-		Str(logging.KeyWorker, string(w.id())).Str(logging.KeyReason, string(refused.Reason)).Msg("attempt refused")
-	switch reason := refused.Reason; {
+		Str(logging.KeyWorker, string(w.id())).Str(logging.KeyReason, string(reason)).Msg("attempt refused")
+	switch {
 	case t.refusedOlderToken(w, sentTo, reason) && a.startsPending > 0 && sentTo.FencingToken < a.token:
 		// The start command with the newer token may still be answered.
 		return
@@ -149,14 +156,14 @@
 	}
 	if a.startsSent > 1 {
 		// Another start command had no response and may have taken effect, or may still do so.
-		if refusesAllStarts(a, sentTo, refused.Reason) {
+		if refusesAllStarts(a, sentTo, reason) {
 			a.confirmedAt = now
 			t.pollAgain(w)
 		}
 		t.abandonStart(a, "refused after a start command without a response")
 		return
 	}
-	t.markLost(a, lostRefused+string(refused.Reason))
+	t.markLost(a, lostRefused+string(reason))
 }
 
 // refusesAllStarts reports whether a worker that has refused one start command of an attempt will refuse all others, too. A
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -243,7 +243,7 @@
 	}
 	if t.current != nil {
 		r.Worker = string(t.current.worker.id())
-		r.Born = t.current.startTime
+		r.Born = t.current.workerStartTime
 	}
 	return r
 }
--- a/execution/droppedworker_test.go
+++ b/execution/droppedworker_test.go
@@ -24,8 +24,7 @@
 	return f.fakeWorkers.Poll(ctx, request)
 }
 
-// Guards against a leader that takes its own fencing token for that of another leader and ends its term: it had dropped an
-// unresponsive worker that then registered again.
+// Guards against a term that ends because a dropped worker registers again and gets a lower fencing token.
 func TestDroppedWorkerIsFencedAgain(t *testing.T) {
 	r := newRig(t, memory.New())
 	client := &fencingWorkers{fakeWorkers: r.client}
@@ -61,8 +60,7 @@
 	}
 }
 
-// Guards against a leader that ends its term because a poll from before a worker was dropped is refused after the worker has
-// accepted a higher fencing token.
+// Guards against a term that ends because a poll from before a worker was dropped is refused as stale.
 func TestPollOfDroppedWorkerIsIgnored(t *testing.T) {
 	r, client, w := newDelayedRig(t)
 	r.handlePollFailure(w, r.target(w), r.clock, &workers.UnreachableError{Worker: w.id()})
@@ -83,8 +81,7 @@
 	}
 }
 
-// Guards against a term that ends for no reason: a worker that was dropped and is registered again gets a lower fencing token
-// than before, and its refusal is taken for word of another leader.
+// Guards against a fencing token that falls when a dropped worker registers again.
 func TestFencingTokenDoesNotFallAfterWorkerIsDropped(t *testing.T) {
 	r := newRig(t, memory.New())
 	w := r.addWorker("w", 1000)
--- a/execution/incarnation_test.go
+++ b/execution/incarnation_test.go
@@ -155,8 +155,7 @@
 	}
 }
 
-// Guards against a task that waits, and against a worker that gets further starts, after a start was not sent because its
-// incarnation is gone.
+// Guards against a task that waits, and a worker that gets more starts, after a start found its incarnation gone.
 func TestStartForIncarnationThatIsGoneIsPlacedAgain(t *testing.T) {
 	r := newRig(t, memory.New())
 	w := r.addWorker("w", 1000)
@@ -190,8 +189,7 @@
 	}
 }
 
-// Guards against a start on an incarnation of a worker that its task was not placed on, which may have other capacity, other
-// labels and no use for the ticket: the worker started again while the attempt was recorded.
+// Guards against a start on a later incarnation, with other capacity or labels, than the one the task was placed on.
 func TestAttemptStartsOnTheIncarnationItWasPlacedOn(t *testing.T) {
 	for name, hedged := range map[string]bool{"first start": false, "hedged start": true} {
 		t.Run(name, func(t *testing.T) {
@@ -220,7 +218,7 @@
 	}
 }
 
-// Guards against a start whose lease has expired before it arrives, as the clock of an idle worker was read long ago.
+// Guards against a start that arrives after its lease expired because the idle worker's clock was read long ago.
 func TestClockOfIdleWorkerIsReadAgain(t *testing.T) {
 	r := newRig(t, memory.New())
 	w := r.addWorker("w", 1000)
@@ -238,7 +236,7 @@
 	}
 }
 
-// Guards against a worker that gets nothing until it is polled again, as a start was to be hedged that was not sent.
+// Guards against a worker that counts as hedged, and gets no tasks, after a hedged start that was not sent.
 func TestHedgeThatIsNotSentLeavesWorkerUsable(t *testing.T) {
 	r, client, w := newDelayedRig(t)
 	r.submit("a", oneStep(1, 100))
--- a/execution/load.go
+++ b/execution/load.go
@@ -173,7 +173,7 @@
 	}
 	w := t.workerOf(workers.ID(record.Worker))
 	t.activate(w)
-	inherited := &taskAttempt{task: task, number: record.Attempt, worker: w, startTime: record.Born, phase: phaseInherited, progress: -1}
+	inherited := &taskAttempt{task: task, number: record.Attempt, worker: w, workerStartTime: record.Born, phase: phaseInherited, progress: -1}
 	t.attach(inherited)
 	w.leasesExpireAt = max(w.leasesExpireAt, t.inheritedLeaseExpiry())
 }
--- a/execution/metrics.go
+++ b/execution/metrics.go
@@ -73,7 +73,8 @@
 			Namespace: namespace, Name: "workers_started_again_total", Help: "Workers that answered as another incarnation under their ID.",
 		}),
 		inheritedDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: namespace, Name: "inherited_attempt_seconds", Help: "Time from a take-over until it was known what became of an inherited attempt, by outcome.",
+			Namespace: namespace, Name: "inherited_attempt_seconds",
+			Help:    "Time from a take-over until it was known what became of an inherited attempt, by outcome.",
 			Buckets: latencyBuckets,
 		}, []string{"outcome"}),
 	}
--- a/execution/model.go
+++ b/execution/model.go
@@ -38,10 +38,10 @@
 	task   *task
 	number int
 	worker *worker
-	// startTime is the start time of the incarnation of the worker that the attempt was placed on. All start commands are for
-	// that one.
-	startTime int64
-	phase     phase
+	// workerStartTime is the start time of the incarnation of the worker that the attempt was placed on. All start commands are
+	// for that one.
+	workerStartTime int64
+	phase           phase
 	// recordSequence is the change sequence number of the job with which the attempt was created. The start command is
 	// sent once that change is stored.
 	recordSequence uint64
@@ -86,9 +86,8 @@
 // ruledOutBy reports whether the response to a poll that does not list the attempt proves that it is not running and will
 // not start. That it is not listed does not prove it: a start command without a response may be carried out after newer
 // calls. The worker refuses it from then on if the poll had a higher fencing token than the command, or if the worker
-// had confirmed the attempt, or a stop command for it, before the poll was sent. A later incarnation of the worker is
-// reached by no start command for the earlier one, but which of them has answered is not asked here: while a command is open,
-// nothing is ruled out.
+// had confirmed the attempt, or a stop command for it, before the poll was sent. No start command for this incarnation
+// reaches a later one, but the poll's incarnation is not checked here: nothing is ruled out while a start command is open.
 func (a *taskAttempt) ruledOutBy(request workers.PollRequest, polledAt time.Duration) bool {
 	if a.phase == phaseRecording || a.startsPending > 0 {
 		return false
@@ -239,10 +238,10 @@
 	// clock is the clock of the worker, in milliseconds, as read at clockAt.
 	clock   int64
 	clockAt time.Duration
-	// startSentAt is when the latest start command was sent.
-	startSentAt time.Duration
-	// startsSentAt holds when the start commands were sent that the latest answered poll does not cover, for the log.
-	startsSentAt []time.Duration
+	// lastStartAt is when the latest start command was sent.
+	lastStartAt time.Duration
+	// startsSincePoll holds the send times of the start commands since the latest answered poll, for the log.
+	startsSincePoll []time.Duration
 	// fenced is set once the worker has accepted this term's fencing token and so refuses commands of earlier terms.
 	fenced bool
 
@@ -314,34 +313,35 @@
 // leaseExpiryMargin is added to the time at which an attempt lease is taken to have expired.
 const leaseExpiryMargin = 60 * time.Millisecond
 
-// leaseExpiry returns when an attempt lease that is granted to a worker now is to expire, on the worker's clock. It is reckoned
+// leaseExpiry returns when an attempt lease that is granted to a worker now is to expire, on the worker's clock. It is computed
 // from the least value of that clock: however long ago that was read, the lease ends within its duration and the drift of the
 // clock, which is what the next term assumes (see Term.inheritedLeaseExpiry).
 func (t *Term) leaseExpiry(w *worker, now time.Duration) int64 {
 	return w.leastClock(now) + t.opts.AttemptLeaseDuration.Milliseconds()
 }
 
-// noteLeaseGrant notes that an attempt lease that ends at leaseExpiry is about to be granted to attempts on the worker.
+// noteLeaseGrant notes that an attempt lease of a duration, with the expiry of Term.leaseExpiry, is about to be granted on the
+// worker.
 func (w *worker) noteLeaseGrant(now, duration time.Duration) {
 	expiry := now + time.Duration(float64(duration)*maxClockDriftFactor) + leaseExpiryMargin
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
-// openCommandTime bounds how long a command may be under way, through a carrier or not, before it is given up: a start may
-// first wait for the answer which incarnation its connection reaches.
-const openCommandTime = 3 * time.Second
+// openCommandTime bounds how long a start may be under way: the wait for a connection, the dial, the poll that identifies the
+// incarnation, and the start itself take up to 3 s, and it may have been as long as carrier.maxCallAge on its way to a carrier.
+const openCommandTime = 3600 * time.Millisecond
 
 // noteForeignLeases notes that start commands with lease expiries by the clock of an earlier incarnation may have reached the
 // present one, whose clock is another: it may have granted leases up to the limit of workers. Clients do not send such commands
-// (see workers.Client); this is a second line of defence.
+// (see workers.Client), so that this is redundant protection.
 func (w *worker) noteForeignLeases(now, limit time.Duration) {
 	expiry := now + openCommandTime + time.Duration(float64(limit)*maxClockDriftFactor) + leaseExpiryMargin
 	w.leasesExpireAt = max(w.leasesExpireAt, expiry)
 }
 
-// The lease of a start is shorter by the drift that the worker's clock may have had since it was read, and has to last until the
-// next poll renews it. So the clock of an idle worker is read again after clockReadInterval, and a worker whose clock was
-// read longer than maxClockAge ago gets nothing.
+// The lease of a start is shortened by the drift since the worker's clock was read, and has to last until the next poll renews it.
+// So the clock of an idle worker is read every clockReadInterval, and no task is placed on a worker whose clock is older than
+// maxClockAge.
 const (
 	clockReadInterval = time.Minute
 	maxClockAge       = 90 * time.Second
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -164,7 +164,7 @@
 	if w.pendingPolls > 0 {
 		t.lostResponses.note(w.id(), now)
 	}
-	if w.isNewIncarnation(inventory.StartTime) && w.startSentAt >= w.polledAt {
+	if w.isNewIncarnation(inventory.StartTime) && w.lastStartAt >= w.polledAt {
 		w.noteForeignLeases(now, t.workerLeaseLimit())
 	}
 	w.polledAt = sentAt
@@ -380,8 +380,8 @@
 	}
 }
 
-// dropWorker removes an active worker from the local view. Responses to its polls in flight are ignored: it may be added again,
-// and refuse them as stale.
+// dropWorker removes an active worker from the local view. Responses to its polls in flight are ignored: if the worker is added
+// again, it refuses these polls because of their stale token.
 func (t *Term) dropWorker(w *worker) {
 	delete(t.workers, w.id())
 	delete(t.workersWithAcks, w)
--- a/execution/restart_test.go
+++ b/execution/restart_test.go
@@ -56,8 +56,7 @@
 	}
 }
 
-// Guards against a task on a worker that lacks its label or capacity: the worker has started again, maybe as another kind, and
-// its registration is still that of the earlier incarnation.
+// Guards against a task placed by the capacity and labels of a worker's earlier incarnation.
 func TestRegistrationOfEarlierIncarnationIsNotUsed(t *testing.T) {
 	r := newRig(t, memory.New())
 	r.registerWorkers(8, 1000)
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -261,7 +261,7 @@
 		// A half-open breaker admits one task at a time.
 		w.node.Degraded = true
 	}
-	a := &taskAttempt{task: task, number: attempt, worker: w, startTime: w.startTime, phase: phaseRecording, progress: -1}
+	a := &taskAttempt{task: task, number: attempt, worker: w, workerStartTime: w.startTime, phase: phaseRecording, progress: -1}
 	t.attach(a)
 	t.markChanged(j)
 	a.recordSequence = j.sequence
--- a/execution/slowclock_test.go
+++ b/execution/slowclock_test.go
@@ -45,8 +45,7 @@
 
 var idleTimes = []time.Duration{0, 20 * time.Second, time.Minute, 10 * time.Minute, 6 * time.Hour}
 
-// Guards against a second attempt while the first one runs: the lease on a worker with a slow clock, which was last read long
-// before the start, outlasts what the next leader assumes.
+// Guards against two running attempts: a lease by an old reading of a slow clock outlasts what the next leader assumes.
 func TestLeaseBySlowClockEndsBeforeInheritedLeaseExpiry(t *testing.T) {
 	for _, idle := range idleTimes {
 		t.Run(idle.String(), func(t *testing.T) {
--- a/execution/throttle_test.go
+++ b/execution/throttle_test.go
@@ -35,8 +35,7 @@
 	return r, client, r.onlyAttempt(w)
 }
 
-// Guards against a best-effort task that goes on beside a latency-critical one although it counts as suspended: the worker
-// carried out an earlier throttle command after the latest one.
+// Guards against a suspended task that runs on because an earlier throttle command was executed after the latest one.
 func TestThrottlesOfAnAttemptKeepTheirOrder(t *testing.T) {
 	r, client, a := newThrottleRig(t)
 	for _, percent := range []int{60, 40, 0} {
--- a/execution/unresponsive_test.go
+++ b/execution/unresponsive_test.go
@@ -110,8 +110,7 @@
 	}
 }
 
-// Guards against a done task that runs again: its attempt was lost in an earlier term and its termination is reported to this
-// one. A failure may have been counted by the earlier term.
+// Guards against a done task that runs again because its attempt was lost in an earlier term.
 func TestDoneOfAttemptLostInEarlierTermCounts(t *testing.T) {
 	for name, c := range map[string]struct {
 		cause workers.Cause
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -160,8 +160,11 @@
 	if !w.registered && !t.loading {
 		t.log.Info().Str(logging.KeyWorker, row.Name).Str("addr", registration.Addr).Msg("worker listed")
 	}
-	t.logRegisteredAgain(w, registration)
-	if w.node.Registration.Addr != registration.Addr || w.announcesIncarnation(registration.StartTime) {
+	announced := w.announcesIncarnation(registration.StartTime)
+	if announced {
+		t.logAnnouncedIncarnation(w, registration)
+	}
+	if announced || w.node.Registration.Addr != registration.Addr {
 		// A new incarnation of the worker has not accepted a fencing token of this term yet. A poll in flight may be answered
 		// by the earlier one.
 		t.raiseToken(w)
--- a/logs/incarnation_test.go
+++ b/logs/incarnation_test.go
@@ -18,8 +18,7 @@
 	return messages
 }
 
-// Guards against a timeline without the restart that explains why two attempts of a task ran at once: it precedes the
-// attempt, or another one on its worker was answered by the later incarnation.
+// Guards against a timeline without the restart that explains why two attempts of a task ran at once.
 func TestIncarnationsOfAttemptsWorkerAreInTimeline(t *testing.T) {
 	const lines = `time=2026-01-02T02:00:01.000Z level=warn message="worker started again" born=7 instance=b worker=x
 time=2026-01-02T02:00:05.000Z level=warn message="worker started again" born=5 instance=b worker=w
--- a/runner/address_test.go
+++ b/runner/address_test.go
@@ -24,8 +24,7 @@
 	return later
 }
 
-// Guards against a worker that is never reached again, and against its attempts that count as running, after it has started
-// again at another address.
+// Guards against a worker, and its lost attempts, that stay at its old address after a restart at another one.
 func TestRestartedWorkerIsCalledAtItsNewAddress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/soak/partition_test.go
+++ b/soak/partition_test.go
@@ -10,8 +10,8 @@
 	"bronzehook/store"
 )
 
-// partitionedRestart is a fault in which workers start again under their IDs after they have been down silently, and are cut off soon after
-// for longer than their leases last.
+// partitionedRestart is a fault: workers crash, start again under their IDs and are soon cut off for longer than their leases
+// last.
 type partitionedRestart struct {
 	// workers holds the indexes of the workers.
 	workers                 []int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,12 +103,19 @@
 	return binary
 }
 
-// maxLease returns the longest attempt lease that workers grant. With partitioned workers it exceeds the one that leaders grant.
+// The longest attempt leases that workers grant, in general and if they are partitioned. The latter exceeds the one that leaders
+// grant.
+const (
+	workerLease            = 5 * time.Second
+	partitionedWorkerLease = 10 * time.Second
+)
+
+// maxLease returns the longest attempt lease that workers grant in this run.
 func maxLease() time.Duration {
 	if *partitionFlag {
-		return 10 * time.Second
+		return partitionedWorkerLease
 	}
-	return 5 * time.Second
+	return workerLease
 }
 
 // instance is one scheduler instance, run as a process, with its proxy to the store.
--- a/workers/workers.go
+++ b/workers/workers.go
@@ -143,12 +143,11 @@
 	TimeoutMargin time.Duration
 }
 
-// Client sends commands to workers. Errors are *RefusedError if the worker replied and did nothing, else errors with
+// Client sends commands to workers. Errors are *RefusedError or *NotSentError if the command had no effect, else errors with
 // CodeUnreachable, after which the command may have been executed or may still be.
 type Client interface {
-	// Start returns the worker's clock. It refuses with ReasonRestarted, without sending the command, where the command would
-	// reach another incarnation than that of the command, which may have the same ID and address. The error is a *NotSentError
-	// where that is not known.
+	// Start returns the worker's clock. It sends the command only to the incarnation with command.StartTime: the error is a
+	// *RefusedError with ReasonRestarted if another one answers, and a *NotSentError if it is unknown which one would.
 	Start(ctx context.Context, command Start) (int64, error)
 	Stop(ctx context.Context, target Target, task jobs.Task, attempt int) error
 	// Poll leaves out LeaseExpiry and AckUpTo wherever the call may reach another incarnation than that of the request,
