Keep the times of starts since the latest poll once

A worker had both the time of its latest start and the times of all starts since the latest answered poll; the former only told whether there were any of the latter. Tests of incarnations repeated how a start is left open and hedged.

Change: the list of starts decides; openStart and hedgeOverdue serve the tests. No assertion is changed.

--- a/execution/commands.go
+++ b/execution/commands.go
@@ -53,7 +53,7 @@
 		t.unconfirmed[a] = struct{}{}
 	}
 	w.noteLeaseGrant(now, t.opts.AttemptLeaseDuration)
-	w.lastStartAt, w.startsSincePoll = now, append(w.startsSincePoll, now)
+	w.startsSincePoll = append(w.startsSincePoll, now)
 	target := t.target(w)
 	a.token = target.FencingToken
 	command := workers.Start{
--- a/execution/hedge_test.go
+++ b/execution/hedge_test.go
@@ -104,6 +104,21 @@
 	return r, client, r.addWorker("w", 1000)
 }
 
+// openStart submits a job of one task whose start command gets no response yet.
+func (r *rig) openStart(client *delayedWorkers) {
+	r.submit("a", oneStep(1, 100))
+	client.setDelaying(true)
+	r.scheduleAndCommit()
+	client.setDelaying(false)
+}
+
+// hedgeOverdue lets the open start commands become overdue, so that they are sent a second time.
+func (r *rig) hedgeOverdue() {
+	r.advanceClock(hedgeAfter)
+	r.retryCommands(r.clock)
+	r.handleEvents()
+}
+
 // Guards against a task that waits for the time-out of a start command although the command or its response was lost.
 func TestOverdueStartIsHedged(t *testing.T) {
 	r, client, w := newDelayedRig(t)
--- a/execution/incarnation_test.go
+++ b/execution/incarnation_test.go
@@ -48,13 +48,8 @@
 // ID, and the later incarnation carried it out after it had listed nothing.
 func TestOpenStartMayReachLaterIncarnation(t *testing.T) {
 	r, client, w := newDelayedRig(t)
-	r.submit("a", oneStep(1, 100))
-	client.setDelaying(true)
-	r.scheduleAndCommit()
-	client.setDelaying(false)
-	r.advanceClock(hedgeAfter)
-	r.retryCommands(r.clock)
-	r.handleEvents()
+	r.openStart(client)
+	r.hedgeOverdue()
 	if a := r.onlyAttempt(w); a.phase != phaseRunning || a.startsPending != 1 {
 		t.Fatalf("phase %d, %d start commands open", a.phase, a.startsPending)
 	}
@@ -75,10 +70,7 @@
 func TestClockOfEarlierIncarnationIsIgnored(t *testing.T) {
 	r, client, w := newDelayedRig(t)
 	client.fakeWorkers.clock = 500_000
-	r.submit("a", oneStep(1, 100))
-	client.setDelaying(true)
-	r.scheduleAndCommit()
-	client.setDelaying(false)
+	r.openStart(client)
 	r.pollAs(w, laterStartTime, 10)
 	client.respond()
 	r.handleEvents()
@@ -176,14 +168,9 @@
 // Guards against a task that waits for the response to a start command that went to an incarnation that is gone.
 func TestOpenStartForIncarnationThatIsGoneDelaysNothing(t *testing.T) {
 	r, client, w := newDelayedRig(t)
-	r.submit("a", oneStep(1, 100))
-	client.setDelaying(true)
-	r.scheduleAndCommit()
-	client.setDelaying(false)
+	r.openStart(client)
 	r.client.err = &workers.RefusedError{Worker: w.id(), Reason: workers.ReasonRestarted}
-	r.advanceClock(hedgeAfter)
-	r.retryCommands(r.clock)
-	r.handleEvents()
+	r.hedgeOverdue()
 	if len(w.attempts) != 0 {
 		t.Error("not lost although the hedged start has shown that the incarnation is gone")
 	}
@@ -239,17 +226,12 @@
 // Guards against a worker that counts as hedged, and gets no tasks, after a hedged start that was not sent.
 func TestHedgeThatIsNotSentLeavesWorkerUsable(t *testing.T) {
 	r, client, w := newDelayedRig(t)
-	r.submit("a", oneStep(1, 100))
-	client.setDelaying(true)
-	r.scheduleAndCommit()
-	client.setDelaying(false)
+	r.openStart(client)
 	for range 2 {
 		// The second poll has the raised fencing token.
 		r.pollAs(w, laterStartTime, 10)
 	}
-	r.advanceClock(hedgeAfter)
-	r.retryCommands(r.clock)
-	r.handleEvents()
+	r.hedgeOverdue()
 	r.refreshNodes(r.clock)
 	if len(w.attempts) != 0 || !w.node.Usable {
 		t.Errorf("%d attempts, usable %v", len(w.attempts), w.node.Usable)
--- a/execution/model.go
+++ b/execution/model.go
@@ -238,9 +238,7 @@
 	// clock is the clock of the worker, in milliseconds, as read at clockAt.
 	clock   int64
 	clockAt time.Duration
-	// lastStartAt is when the latest start command was sent.
-	lastStartAt time.Duration
-	// startsSincePoll holds the send times of the start commands since the latest answered poll, for the log.
+	// startsSincePoll holds the send times of the start commands since the latest answered poll.
 	startsSincePoll []time.Duration
 	// fenced is set once the worker has accepted this term's fencing token and so refuses commands of earlier terms.
 	fenced bool
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -164,7 +164,7 @@
 	if w.pendingPolls > 0 {
 		t.lostResponses.note(w.id(), now)
 	}
-	if w.isNewIncarnation(inventory.StartTime) && w.lastStartAt >= w.polledAt {
+	if w.isNewIncarnation(inventory.StartTime) && len(w.startsSincePoll) > 0 {
 		w.noteForeignLeases(now, t.workerLeaseLimit())
 	}
 	w.polledAt = sentAt
