--- a/review/lab3/advised.go
+++ b/review/lab3/advised.go
@@ -141,7 +141,8 @@
 			good = append(good, []string{id, "t-" + id})
 		}
 	}
-	a.r.note("advice for %s: %d workers asked, first %s, last %s, %d good", body.Step, len(body.Workers), body.Workers[0], body.Workers[len(body.Workers)-1], len(good))
+	a.r.note("advice for %s: %d workers asked, first %s, last %s, %d good",
+		body.Step, len(body.Workers), body.Workers[0], body.Workers[len(body.Workers)-1], len(good))
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"good": good, "valid_ms": ticketValid.Milliseconds()})
 }
@@ -252,7 +253,8 @@
 			calm := now.Sub(changed) > calmBefore+idleLimit
 			if idle > watchRestart+idleLimit && calm && places >= capacityRunsTwo && !found[task] {
 				found[task] = true
-				k.r.breakRule("LOST: task %s does not run for %.1f s, workers with label %s have room for %d of it; state %q", task, idle.Seconds(), labelB, places, k.r.state(id))
+				k.r.breakRule("LOST: task %s does not run for %.1f s, workers with label %s have room for %d of it; state %q",
+					task, idle.Seconds(), labelB, places, k.r.state(id))
 			}
 		}
 	}
--- a/review/lab3/gangacks.go
+++ b/review/lab3/gangacks.go
@@ -109,6 +109,9 @@
 		time.Sleep(pairInterval)
 	}
 	open.Wait()
+	if count := countTrue(accepted.jobs); count < len(accepted.jobs)/2 {
+		return fmt.Errorf("only %d of %d jobs were accepted", count, len(accepted.jobs))
+	}
 	r.note("end of the traffic")
 	time.Sleep(finishTime)
 	r.judgePairs(accepted.jobs)
@@ -150,6 +153,8 @@
 // jobs of which nothing has run.
 func (r *rig) judgePairs(accepted map[string]bool) {
 	idleSince, found := make(map[string]time.Time), make(map[string]bool)
+	seenDone := make(map[string]int)
+	capacity := gangWorkers * r.fleet.CPU
 	for until := time.Now().Add(judgeTime); time.Now().Before(until); time.Sleep(judgeInterval) {
 		running := make(map[string]bool)
 		inUse := 0
@@ -163,7 +168,9 @@
 		now := time.Now()
 		for id, ok := range accepted {
 			first, second := done[id+".0"], done[id+".1"]
-			if !ok || id[0] != kindPair || running[id] || second >= pairCount {
+			progressed := first+second != seenDone[id]
+			seenDone[id] = first + second
+			if !ok || id[0] != kindPair || running[id] || progressed || second >= pairCount || 2*inUse >= capacity {
 				delete(idleSince, id)
 				continue
 			}
@@ -172,8 +179,9 @@
 			}
 			if idle := now.Sub(idleSince[id]); idle > idleLimit && !found[id] {
 				found[id] = true
-				r.breakRule("LOST: job %s has nothing running for %.1f s, %d of %d tasks of its first step and %d of its second have ended done; %d of %d thousandths of a core in use; state %q",
-					id, idle.Seconds(), first, pairCount, second, inUse, gangWorkers*r.fleet.CPU, r.state(id))
+				r.breakRule("LOST: job %s has nothing running for %.1f s, %d of %d tasks of its first step and %d of its second "+
+					"have ended done; %d of %d thousandths of a core in use; state %q",
+					id, idle.Seconds(), first, pairCount, second, inUse, capacity, r.state(id))
 			}
 		}
 	}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// timeLimit ends a script that hangs before the 120 s that it may take.
+const timeLimit = 112 * time.Second
+
 // Exit codes of a script.
 const (
 	exitHeld   = 0
@@ -32,6 +38,7 @@
 		return exitUnable
 	}
 	defer r.close()
+	go r.endEarly()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case %s, disruption: %v", os.Args[1], trouble)
 	if err := cases[os.Args[1]](r, trouble); err != nil {
@@ -48,3 +55,17 @@
 	fmt.Println("held")
 	return exitHeld
 }
+
+// endEarly ends all processes and the script at a signal or at the time limit.
+func (r *rig) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case received := <-signals:
+		r.note("could not run: ended by %v", received)
+	case <-time.After(timeLimit):
+		r.note("could not run: longer than %v", timeLimit)
+	}
+	r.close()
+	os.Exit(exitUnable)
+}
