Report acknowledgements that wait long for a commit

Neither metrics nor log tell how long the oldest acknowledgement has waited, or for what: a commit that fails, one that is under way, or one that nothing has queued. Change: the gauge bronzehook_oldest_pending_ack_seconds, and a log line with the job that the oldest acknowledgement waits for, its sequence numbers and what is queued for it. The acknowledgements have a file of their own. Result: TestLongWaitOfAnAcknowledgementIsReported; behaviour is unchanged.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -166,12 +166,6 @@
 	return termination.Attempt == t.lastEnded && termination.Cause == workers.CauseDone && !t.step.LongRunning
 }
 
-// addAck queues the acknowledgement of a termination until the change of its job is stored.
-func (t *Term) addAck(w *worker, a pendingAck) {
-	w.pendingAcks = append(w.pendingAcks, a)
-	t.workersWithAcks[w] = struct{}{}
-}
-
 // countTermination updates a task after the termination of an attempt. ran is the run time of the attempt, 0 if unknown.
 func (t *Term) countTermination(w *worker, task *task, termination workers.Termination, ran time.Duration) {
 	t.detailLog.Info().Stringer(logging.KeyTask, termination.Task).Int(logging.KeyAttempt, termination.Attempt).
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -391,32 +391,3 @@
 		t.markChanged(j)
 	}
 }
-
-// releaseAcks lets the next polls acknowledge the terminations whose effect on their job is stored, and makes these
-// polls due at once.
-func (t *Term) releaseAcks() {
-	for w := range t.workersWithAcks {
-		t.releaseAcksOf(w)
-	}
-}
-
-// releaseAcksOf lets the next poll of a worker acknowledge the terminations whose effect on their job is stored, in the
-// order of their sequence numbers and up to the first one that is not stored yet.
-func (t *Term) releaseAcksOf(w *worker) {
-	released := 0
-	for _, ack := range w.pendingAcks {
-		if ack.job != nil && ack.job.committedSequence < ack.sequence {
-			break
-		}
-		w.storedUpTo = ack.number
-		released++
-	}
-	if released > 0 {
-		w.pendingAcks = w.pendingAcks[released:]
-		w.nextPoll = 0
-		t.passDue = true
-	}
-	if len(w.pendingAcks) == 0 {
-		delete(t.workersWithAcks, w)
-	}
-}
--- a/execution/metrics.go
+++ b/execution/metrics.go
@@ -37,6 +37,7 @@
 	backlog           backlogMetrics
 	locality          localityMetrics
 	interference      interferenceMetrics
+	ackWait           prometheus.Gauge
 }
 
 // Outcomes of an inherited attempt: its worker lists it as running or reports its termination, or it is lost.
@@ -95,6 +96,10 @@
 		overdueStarts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "overdue_starts_total", Help: "Starts whose response was overdue, by what was done.",
 		}, []string{"action"}),
+		ackWait: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "oldest_pending_ack_seconds",
+			Help: "Age of the oldest termination that is not acknowledged because its effect is not stored yet.",
+		}),
 	}
 	m.evacuation = newEvacuationMetrics(registry)
 	m.backlog = newBacklogMetrics(registry)
@@ -102,7 +107,7 @@
 	m.interference = newInterferenceMetrics(registry)
 	registry.MustRegister(
 		m.takeoverDuration, m.terminations, m.jobs, m.placementFailures, m.commits, m.commitDuration, m.startWait, m.jobAge,
-		m.losses, m.withheldStarts, m.restarts, m.latePolls, m.inheritedDuration, m.overdueStarts,
+		m.losses, m.withheldStarts, m.restarts, m.latePolls, m.inheritedDuration, m.overdueStarts, m.ackWait,
 	)
 	return m
 }
--- a/execution/model.go
+++ b/execution/model.go
@@ -232,16 +232,6 @@
 // terminal reports whether the job has ended.
 func (j *job) terminal() bool { return j.state.Terminal() }
 
-// pendingAck is a termination that is acknowledged to its worker once the change of the job with the given sequence
-// number is stored.
-type pendingAck struct {
-	// number is the termination sequence number.
-	number int64
-	// job is nil if the task is unknown, so that there is nothing to store.
-	job      *job
-	sequence uint64
-}
-
 // attemptKey identifies an attempt of a task.
 type attemptKey struct {
 	task    jobs.Task
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -235,7 +235,8 @@
 	}
 	w.startTime, w.answeredFrom = startTime, t.opts.Clock()
 	w.breaker, w.slow = breaker{}, false
-	w.appliedUpTo, w.storedUpTo, w.ackedUpTo, w.pendingAcks = 0, 0, 0, nil
+	w.appliedUpTo, w.storedUpTo, w.ackedUpTo = 0, 0, 0
+	t.forgetAcks(w)
 }
 
 // reconcile compares the attempts that a worker reports with those that it is expected to run. The poll was sent at
@@ -360,7 +361,7 @@
 	w.fenced = false
 	w.lateRound = 0
 	w.registered = false
-	w.pendingAcks = nil
+	t.forgetAcks(w)
 	w.pollFailures++
 	w.nextPoll = t.opts.Clock() + maxPollRetryDelay
 }
--- a/execution/rig_test.go
+++ b/execution/rig_test.go
@@ -94,6 +94,12 @@
 )
 
 func newRig(t *testing.T, table *memory.Table) *rig {
+	t.Helper()
+	return newRigBehind(t, table, table)
+}
+
+// newRigBehind returns a rig whose term reaches a table through another one.
+func newRigBehind(t *testing.T, table *memory.Table, front store.Table) *rig {
 	t.Helper()
 	r := &rig{
 		t: t, table: table, client: &fakeWorkers{throttles: make(map[jobs.Task]int), clock: 1000},
@@ -108,7 +114,7 @@
 		defer r.mu.Unlock()
 		return r.clock
 	}
-	candidate := leadership.NewCandidate(table, clock, "n", time.Now().UnixNano())
+	candidate := leadership.NewCandidate(front, clock, "n", time.Now().UnixNano())
 	observation, err := candidate.Observe(context.Background())
 	if err != nil {
 		t.Fatal(err)
@@ -118,7 +124,7 @@
 		t.Fatal(err)
 	}
 	r.Term = NewTerm(Options{
-		Table: table, Workers: r.client, Manifest: provider, WorkersTable: "servers",
+		Table: front, Workers: r.client, Manifest: provider, WorkersTable: "servers",
 		ParseRegistration: func(store.Row) (workers.Registration, error) {
 			return workers.Registration{}, invalid.New(invalid.KindMissing, "everything")
 		},
--- a/execution/supervise.go
+++ b/execution/supervise.go
@@ -19,7 +19,8 @@
 )
 
 // supervise stops attempts that make no progress and moves work off draining and slow workers. It also updates the
-// demand, advances the maintenance waves and requests a scheduling cycle for occurrences that have become due.
+// demand, advances the maintenance waves, watches the acknowledgements that wait and requests a scheduling cycle for
+// occurrences that have become due.
 func (t *Term) supervise(now time.Duration) {
 	if now < t.superviseAt {
 		return
@@ -30,6 +31,7 @@
 	t.advanceWaves(now)
 	t.advanceEvacuations(now)
 	t.reportInterference(now)
+	t.watchAcks(now)
 	for _, w := range t.active {
 		t.mitigateInterference(w, now)
 		for _, a := range w.attempts {
--- a/execution/term.go
+++ b/execution/term.go
@@ -273,6 +273,8 @@
 	// superviseAt is when attempts are next due to be supervised, fleetLogAt when the next fleet summary is due.
 	superviseAt time.Duration
 	fleetLogAt  time.Duration
+	// ackLogAt is when the log may next name an acknowledgement that waits.
+	ackLogAt time.Duration
 }
 
 // NewTerm returns a term for a leader.
@@ -302,6 +304,7 @@
 	defer t.leader.Invalidate()
 	defer t.endEvacuationReports()
 	defer t.endInterferenceReports()
+	defer t.opts.Metrics.ackWait.Set(0)
 	t.ctx = ctx
 	if t.opts.Carriers != nil {
 		t.opts.Carriers.Begin(carrier.Session{Valid: t.leader.Valid, Post: t.post, Lost: t.reassignCarrier})
