Remove a job whose last attempt ends after its state is stored

Cause: the first member of a gang that is done ends the job. The ends of the others change nothing, so that nothing queued the job again when its last attempt ended. If its state was stored by then, no commit was left that removes the job; if its record was not, buildRecords left it out as removable, and the acknowledgements of these ends waited for its sequence number for the rest of the term, and with them all later ones of the worker. After 500 a worker lists no newer ends. Evidence: TestLastMembersOfADoneGangAreAcknowledged failed in both forms before: the job is still there, and 2 of 2 acknowledgements wait. Change: detach queues the final commit of a job that its last attempt has made removable.

--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -33,6 +33,9 @@
 	if a.task.current == a {
 		a.task.current = nil
 	}
+	if a.task.job.removable() {
+		t.queueState(a.task.job)
+	}
 	a.task.readyAt = t.opts.Clock()
 	t.scheduleDue = true
 }
--- a/execution/pendingacks_test.go
+++ b/execution/pendingacks_test.go
@@ -54,3 +54,29 @@
 		t.Errorf("%v s after the acknowledgement", got)
 	}
 }
+
+// Guards against members of a gang whose terminations are never acknowledged, and whose job is never removed, because the first
+// member that was done had ended the job and the others changed nothing. It held up all later terminations of their workers.
+func TestLastMembersOfADoneGangAreAcknowledged(t *testing.T) {
+	for name, reject := range map[string]func(store.Txn) bool{
+		"record stored before the last end": nil,
+		"state stored before the last end":  touchesRecords,
+	} {
+		r := newRig(t, memory.New())
+		w := r.addWorker("w", 1000)
+		r.submit("a", gangStep(2, 100))
+		r.scheduleAndCommit()
+		r.table.SetReject(reject)
+		r.report(w, 1, 0, 1, workers.CauseDone)
+		r.commitAll()
+		r.report(w, 2, 1, 1, workers.CauseDone)
+		r.table.SetReject(nil)
+		r.commitAll()
+		if w.storedUpTo != 2 || len(w.pendingAcks) != 0 {
+			t.Errorf("%s: terminations acknowledged up to %d, %d wait", name, w.storedUpTo, len(w.pendingAcks))
+		}
+		if r.jobs["a"] != nil || r.table.Value(store.JobKey("a")) != nil {
+			t.Errorf("%s: the job is still there", name)
+		}
+	}
+}
