Release the acknowledgements of a removed job

Cause: a job is removed by the commit of its final state while a commit of its progress record may be under way. When that one is stored, it writes its older sequence number over the newer one, and the acknowledgements of the job that still wait behind others, or come in the meantime, wait for ever, and hold up all later ones of their worker. Nothing of a removed job is left to store. Evidence: TestEveryTerminationIsStoredThenAcknowledged plays random orders of ends of gang members, of lost and cancelled attempts and of the commits of records and states, each stored, refused or stored without an answer. Change: an acknowledgement of a removed job has nothing to wait for, and the final commit does not touch the sequence number any more.

--- a/execution/commit.go
+++ b/execution/commit.go
@@ -302,7 +302,6 @@
 		t.queueRecord(j)
 	}
 	if c.final {
-		j.committedSequence = c.sequence
 		j.removed = true
 		delete(t.jobs, j.spec.ID)
 		if j.recorded {
--- a/execution/pendingacks.go
+++ b/execution/pendingacks.go
@@ -18,8 +18,10 @@
 	since time.Duration
 }
 
-// stored reports whether the change that the acknowledgement waits for is stored.
-func (a *pendingAck) stored() bool { return a.job == nil || a.job.committedSequence >= a.sequence }
+// stored reports whether the change that the acknowledgement waits for is stored. Of a removed job nothing has to be.
+func (a *pendingAck) stored() bool {
+	return a.job == nil || a.job.removed || a.job.committedSequence >= a.sequence
+}
 
 // addAck queues the acknowledgement of a termination until the change of its job is stored.
 func (t *Term) addAck(w *worker, a pendingAck) {
