Count a lost attempt as done however late that is reported

Cause: the termination of a lost attempt counted only if no later attempt had ended since. If one had, an end as done was left out and yet acknowledged: the worker forgets it, and the task runs once more. Change: an end as done counts for a task that is not done, whichever attempt it is of. This includes the case of an attempt that an earlier term had lost, which had a rule of its own.

--- a/execution/ackorders_test.go
+++ b/execution/ackorders_test.go
@@ -281,7 +281,7 @@
 // has a commit under way or queued that releases it, or its job is gone. Also against terminations that are acknowledged
 // before they are stored, starts that wait for ever for their record, and ended jobs that are never removed.
 func TestEveryTerminationIsStoredThenAcknowledged(t *testing.T) {
-	const seeds, steps = 400, 80
+	const seeds, steps = 200, 200
 	for seed := range uint64(seeds) {
 		p := newAckPlay(t, seed)
 		for range steps {
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -151,10 +151,7 @@
 		t.noteResolved(a, resolvedEnded, t.opts.Clock())
 		t.detach(a)
 	}
-	// An earlier term may have counted the termination already; task.lastEnded, restored from the progress record,
-	// shows that. The termination of a lost attempt still counts: its task may be done, and a failure counts even if
-	// reported late.
-	if !task.done && (termination.Attempt > task.lastEnded || termination.Attempt == task.lostAttempt || task.lostEarlier(termination)) {
+	if task.counts(termination) {
 		task.lastEnded = max(task.lastEnded, termination.Attempt)
 		task.lostAttempt = 0
 		t.countTermination(w, task, termination, ran)
@@ -163,10 +160,17 @@
 	t.addAck(w, pendingAck{number: termination.Number, job: j, sequence: j.sequence})
 }
 
-// lostEarlier reports whether an earlier term has lost the attempt of a termination. No term has counted that the attempt was
-// done, or the task would be done.
-func (t *task) lostEarlier(termination workers.Termination) bool {
-	return termination.Attempt == t.lastEnded && termination.Cause == workers.CauseDone && !t.step.LongRunning
+// counts reports whether a termination changes a task. An earlier term may have counted it already, which task.lastEnded
+// shows, as the progress record restores it. The termination of a lost attempt still counts: a failure if no later attempt
+// has ended since, and that it was done whenever it is reported.
+func (t *task) counts(termination workers.Termination) bool {
+	switch {
+	case t.done:
+		return false
+	case termination.Attempt > t.lastEnded, termination.Attempt == t.lostAttempt:
+		return true
+	}
+	return termination.Cause == workers.CauseDone && !t.step.LongRunning
 }
 
 // countTermination updates a task after the termination of an attempt. ran is the run time of the attempt, 0 if unknown.
--- a/execution/term_test.go
+++ b/execution/term_test.go
@@ -189,3 +189,24 @@
 		t.Error("the state was not deleted")
 	}
 }
+
+// Guards against work that is done once more, as a lost attempt is reported as done only after a later attempt has ended.
+func TestLostAttemptIsDoneHoweverLate(t *testing.T) {
+	r := newRig(t, memory.New())
+	w1, w2 := r.addWorker("w1", 100), r.addWorker("w2", 100)
+	j := r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	task := j.occurrences[0].steps[0][0]
+	if task.current.worker != w1 {
+		w1, w2 = w2, w1
+	}
+	r.markLost(task.current, lostLeaseExpired)
+	w1.node.Usable = false
+	r.scheduleAndCommit()
+	r.report(w2, 1, 0, 2, workers.CauseStopped)
+	r.report(w1, 1, 0, 1, workers.CauseDone)
+	r.scheduleAndCommit()
+	if j.state != jobs.StateSucceeded || task.attempt != 2 {
+		t.Errorf("job %s, %d attempts", j.state, task.attempt)
+	}
+}
