Record the ends of a job that is set aside

Cause: nothing of a job that is set aside after a panic was stored any more. Terminations that waited for its record held up all later ones of their workers for the rest of the term; later ones were acknowledged without a record, so that the next term, which reads the job again, started tasks again that were done. Change: the progress record of such a job goes on to tell what has ended; it is still neither placed nor removed. If its progress was not read, as it was set aside while the tables were read, nothing is recorded: the record must not be replaced (TestUnreadableRecordIsNotReplaced).

--- a/execution/ackorders_test.go
+++ b/execution/ackorders_test.go
@@ -85,6 +85,9 @@
 
 // step does one random thing.
 func (p *ackPlay) step() {
+	if p.rand.IntN(60) == 0 {
+		p.setOneAside()
+	}
 	switch p.rand.IntN(10) {
 	case 0:
 		p.submitJob()
@@ -118,7 +121,7 @@
 	p.markVerified(store.Row{Key: store.JobKey(id), Version: j.stateVersion})
 }
 
-// attempts returns the attempts that may have been started, in a fixed order.
+// started returns the attempts that may have been started, in a fixed order.
 func (p *ackPlay) started() []*taskAttempt {
 	var started []*taskAttempt
 	for _, w := range p.fleet {
@@ -173,6 +176,15 @@
 	}
 }
 
+func (p *ackPlay) setOneAside() {
+	if len(p.names) == 0 {
+		return
+	}
+	if j := p.jobs[jobs.ID(p.names[p.rand.IntN(len(p.names))])]; j != nil {
+		p.setJobAside(j, "test")
+	}
+}
+
 // requestCancel stores the cancellation of a job that has not ended, as the instance that the caller asks does.
 func (p *ackPlay) requestCancel() {
 	if len(p.names) == 0 {
--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -131,15 +131,18 @@
 
 // handleTermination handles the termination of an attempt that a worker reports.
 func (t *Term) handleTermination(w *worker, termination workers.Termination) {
+	key := attemptKey{termination.Task, termination.Attempt}
+	delete(w.orphans, key)
+	if j := t.setAside[termination.Task.Job]; j != nil {
+		t.noteAsideTermination(w, j, termination)
+		return
+	}
 	j := t.jobs[termination.Task.Job]
 	task := t.findTask(termination.Task)
 	if j == nil || task == nil {
 		t.addAck(w, pendingAck{number: termination.Number})
-		delete(w.orphans, attemptKey{termination.Task, termination.Attempt})
 		return
 	}
-	key := attemptKey{termination.Task, termination.Attempt}
-	delete(w.orphans, key)
 	if !j.started {
 		t.markStarted(j)
 	}
@@ -202,18 +205,23 @@
 // countFailure counts a failed attempt against its task, or its gang, and, for the circuit breaker, against its worker.
 func (t *Term) countFailure(w *worker, task *task, attempt int) {
 	task.avoidWorker = w.id()
-	switch {
-	case task.step.LongRunning:
-	case task.step.Gang:
-		task.occurrence().gangFailuresOf(task.id.Step).note(attempt)
-	default:
-		task.failures++
-	}
+	task.noteFailure(attempt)
 	if task.job.countsAgainst(w.id()) && w.breaker.recordFailure(t.opts.Clock()) {
 		t.logPenalty(w, "fails what it starts", w.breaker.coolDown)
 	}
 }
 
+// noteFailure counts a failed attempt against a task, or its gang.
+func (t *task) noteFailure(attempt int) {
+	switch {
+	case t.step.LongRunning:
+	case t.step.Gang:
+		t.occurrence().gangFailuresOf(t.id.Step).note(attempt)
+	default:
+		t.failures++
+	}
+}
+
 // finish marks a task as done, and with it all members of its gang.
 func (t *Term) finish(finished *task) {
 	for _, member := range t.gangOf(finished) {
@@ -294,7 +302,15 @@
 // findTask returns the task with an ID; nil if its job is not live or has no such task.
 func (t *Term) findTask(id jobs.Task) *task {
 	j := t.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+	if j == nil {
+		return nil
+	}
+	return j.find(id)
+}
+
+// find returns the task with an ID of this job; nil if it has no such task.
+func (j *job) find(id jobs.Task) *task {
+	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
 		return nil
 	}
 	o := j.occurrences[id.Occurrence]
--- a/execution/backlog.go
+++ b/execution/backlog.go
@@ -147,7 +147,7 @@
 	t.observeLargestWorkers()
 	waiting := make(map[string][]*job)
 	for _, j := range t.order {
-		if j.removed || j.terminal() || !j.queueKnown || j.lasting {
+		if j.excluded() || j.terminal() || !j.queueKnown || j.lasting {
 			continue
 		}
 		t.refreshEstimates(j)
--- a/execution/commit.go
+++ b/execution/commit.go
@@ -92,8 +92,14 @@
 	return j.state != j.storedState || !j.verified || (j.pending && (j.started || j.terminal())) || j.removable()
 }
 
-// buildRecords builds a transaction from jobs whose progress has changed. It leaves out jobs that are not verified yet,
-// as they may have ended before this term read them; stateCommitted queues them again.
+// recordable reports whether the progress record of a job may be stored. One that is not verified yet may have ended before
+// this term read it; stateCommitted queues it again. That of a removable job is about to be deleted. A job that is set aside is
+// neither verified nor removed by this term.
+func (j *job) recordable() bool {
+	return !j.removed && (j.aside || (j.verified && !j.removable()))
+}
+
+// buildRecords builds a transaction from jobs whose progress has changed.
 func (t *Term) buildRecords() (store.Txn, []change) {
 	var txn store.Txn
 	var batch []change
@@ -103,7 +109,7 @@
 		j := t.records.dirty[0]
 		t.records.dirty = t.records.dirty[1:]
 		j.inRecords = false
-		if j.removed || j.removable() || !j.verified || j.sequence == j.committedSequence {
+		if !j.recordable() || j.sequence == j.committedSequence {
 			continue
 		}
 		t.recordEntries = j.appendRecord(t.recordEntries[:0])
@@ -126,7 +132,7 @@
 		j := q.dirty[0]
 		q.dirty = q.dirty[1:]
 		j.inStates = false
-		if j.removed || !j.stateOutdated() {
+		if j.excluded() || !j.stateOutdated() {
 			continue
 		}
 		batch = append(batch, t.buildState(&txn, j))
--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -48,7 +48,7 @@
 func (t *Term) observeDemand(now time.Duration) {
 	var topUse, topWait, batchUse, batchWait int
 	for _, j := range t.order {
-		if j.removed || j.terminal() {
+		if j.excluded() || j.terminal() {
 			continue
 		}
 		for _, o := range j.occurrences {
--- a/execution/hold.go
+++ b/execution/hold.go
@@ -53,7 +53,7 @@
 // refreshHolds releases the holds of tasks that no longer need one, and those on workers that cannot satisfy them.
 func (t *Term) refreshHolds() {
 	for task, node := range t.holds {
-		needed := task.current == nil && !task.done && !task.job.terminal() && !task.job.removed
+		needed := task.current == nil && !task.done && !task.job.terminal() && !task.job.excluded()
 		if !needed || !node.Usable || !task.step.Reserved().Fits(node.FreeWithoutBatch()) {
 			t.releaseHold(task)
 		}
--- a/execution/load.go
+++ b/execution/load.go
@@ -131,7 +131,7 @@
 // applyRecord restores the progress of a job from its record.
 func (t *Term) applyRecord(row store.Row) {
 	j := t.jobs[jobs.ID(row.Name)]
-	if j == nil && t.setAside[jobs.ID(row.Name)] {
+	if _, aside := t.setAside[jobs.ID(row.Name)]; aside && j == nil {
 		return
 	}
 	if j == nil {
--- a/execution/model.go
+++ b/execution/model.go
@@ -223,8 +223,8 @@
 	slack    time.Duration
 	// runTimes holds the run times of the steps; nil before they are first needed.
 	runTimes []stepRunTimes
-	// removed is set once the rows of the job are deleted.
-	removed bool
+	// removed is set once the rows of the job are deleted, aside once it is set aside.
+	removed, aside bool
 	// failedOn is the worker on which a task of the job failed first.
 	failedOn workers.ID
 }
@@ -232,6 +232,9 @@
 // terminal reports whether the job has ended.
 func (j *job) terminal() bool { return j.state.Terminal() }
 
+// excluded reports whether nothing of a job is placed any more, nor any change of its state stored.
+func (j *job) excluded() bool { return j.removed || j.aside }
+
 // attemptKey identifies an attempt of a task.
 type attemptKey struct {
 	task    jobs.Task
--- a/execution/move.go
+++ b/execution/move.go
@@ -117,7 +117,7 @@
 }
 
 // ended reports whether a task needs no further attempt.
-func (t *task) ended() bool { return t.done || t.job.terminal() || t.job.removed }
+func (t *task) ended() bool { return t.done || t.job.terminal() || t.job.excluded() }
 
 // releaseMove releases the place that is reserved for a moved task, if there is one.
 func (t *Term) releaseMove(task *task) {
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -51,11 +51,11 @@
 	}
 }
 
-// compactOrder drops removed jobs from the order.
+// compactOrder drops the jobs from the order of which nothing is placed any more.
 func (t *Term) compactOrder() {
 	kept := t.order[:0]
 	for _, j := range t.order {
-		if !j.removed {
+		if !j.excluded() {
 			kept = append(kept, j)
 		}
 	}
--- a/execution/setaside.go
+++ b/execution/setaside.go
@@ -7,6 +7,7 @@
 	"bronzehook/jobs"
 	"bronzehook/logging"
 	"bronzehook/store"
+	"bronzehook/workers"
 )
 
 // SpecMismatchError reports a stored job whose specification names another job.
@@ -53,13 +54,43 @@
 	return jobs.ID(row.Name)
 }
 
-// setJobAside stops scheduling a job for the rest of the term and stops its attempts. Its rows stay as they are, so that
-// an operator can look at them and its caller can still cancel it.
+// setJobAside stops scheduling a job for the rest of the term and stops its attempts. Its rows stay, so that an operator can
+// look at them and its caller can still cancel it; only its progress record goes on to tell what has ended.
 func (t *Term) setJobAside(j *job, reason string) {
 	t.log.Error().Str(logging.KeyRequest, string(j.spec.ID)).Str(logging.KeyReason, reason).Msg("job set aside")
-	t.setAside[j.spec.ID] = true
+	t.setAside[j.spec.ID] = nil
 	delete(t.jobs, j.spec.ID)
 	t.stopAll(j, "the job is set aside")
-	// Nothing of a removed job is placed or stored any more.
-	j.removed = true
+	j.aside = true
+	if !t.loading {
+		// While the tables are read, the progress of the job is not known, and its record must not be replaced.
+		t.setAside[j.spec.ID] = j
+		t.queueRecord(j)
+	}
+}
+
+// noteAsideTermination handles a termination of a job that is set aside. All that it does is to record it: the next term would
+// start a task again of which the worker has forgotten that it was done.
+func (t *Term) noteAsideTermination(w *worker, j *job, termination workers.Termination) {
+	if a := w.attempts[attemptKey{termination.Task, termination.Attempt}]; a != nil {
+		t.detach(a)
+	}
+	task := j.find(termination.Task)
+	if task == nil {
+		t.addAck(w, pendingAck{number: termination.Number})
+		return
+	}
+	if task.counts(termination) {
+		task.lastEnded = max(task.lastEnded, termination.Attempt)
+		switch {
+		case termination.Cause == workers.CauseFailed:
+			task.noteFailure(termination.Attempt)
+		case termination.Cause == workers.CauseDone && !task.step.LongRunning:
+			for _, member := range t.gangOf(task) {
+				member.done = true
+			}
+		}
+		t.markChanged(j)
+	}
+	t.addAck(w, pendingAck{number: termination.Number, job: j, sequence: j.sequence})
 }
--- a/execution/setaside_test.go
+++ b/execution/setaside_test.go
@@ -85,3 +85,46 @@
 		t.Errorf("job known: %v, %d attempts, %d rows to delete", r.jobs["a"] != nil, len(w.attempts), len(r.obsoleteRecords))
 	}
 }
+
+// Guards against a job that is set aside and holds up the acknowledgements of its workers for the rest of the term, and against tasks
+// of it that the next term starts again although they were reported as done.
+func TestEndsOfAJobSetAsideAreRecorded(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 32_000)
+	j := r.submit("a", oneStep(2, 100))
+	r.submit("b", oneStep(1, 100))
+	r.scheduleAndCommit()
+	r.reportTerminations(w, doneTermination(1, "a", 0))
+	r.setJobAside(j, "test")
+	r.reportTerminations(w, doneTermination(1, "a", 0), doneTermination(2, "a", 1), doneTermination(3, "b", 0))
+	r.commitAll()
+	if w.storedUpTo != 3 {
+		t.Errorf("terminations acknowledged up to %d", w.storedUpTo)
+	}
+	next, w := r.takeOver("w", 32_000)
+	next.reportTerminations(w)
+	next.scheduleAndCommit()
+	if n := next.client.startCount(); n != 0 {
+		t.Errorf("%d starts by the next term", n)
+	}
+}
+
+// Guards against a progress record that cannot be read and is replaced by one that lacks what it holds.
+func TestUnreadableRecordIsNotReplaced(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.addWorker("w", 32_000)
+	r.submit("a", oneStep(1, 100))
+	r.scheduleAndCommit()
+	if _, err := r.table.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: store.ProgressKey("a"), Value: []byte("?")}}}); err != nil {
+		t.Fatal(err)
+	}
+	next, w := r.takeOver("w", 32_000)
+	next.reportTerminations(w, doneTermination(1, "a", 0))
+	next.commitAll()
+	if got := string(r.table.Value(store.ProgressKey("a"))); got != "?" {
+		t.Errorf("the record is now %q", got)
+	}
+	if w.storedUpTo != 1 {
+		t.Errorf("terminations acknowledged up to %d", w.storedUpTo)
+	}
+}
--- a/execution/slots.go
+++ b/execution/slots.go
@@ -16,7 +16,7 @@
 func (t *Term) observeSlotSize() {
 	total, count := 0, 0
 	for _, j := range t.order {
-		if j.removed || j.terminal() {
+		if j.excluded() || j.terminal() {
 			continue
 		}
 		for i := range j.spec.Steps {
--- a/execution/term.go
+++ b/execution/term.go
@@ -157,8 +157,9 @@
 	carriedWorkers int
 	// earlyCancels holds the jobs whose cancellation was read before the job itself.
 	earlyCancels map[jobs.ID]bool
-	// setAside holds the jobs that this term does not schedule because of their rows or after a panic.
-	setAside map[jobs.ID]bool
+	// setAside holds the jobs that this term does not schedule because of their rows or after a panic; nil for one whose row
+	// cannot be read.
+	setAside map[jobs.ID]*job
 
 	interference *placement.InterferenceModel
 	// interferenceReportAt is when the next report of it is due.
@@ -283,7 +284,7 @@
 	return &Term{
 		opts: opts, leader: leader, events: make(chan func(), maxQueuedEvents),
 		log: log, detailLog: log.Sample(opts.DetailSampler),
-		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), earlyCancels: make(map[jobs.ID]bool), setAside: make(map[jobs.ID]bool),
+		jobs: make(map[jobs.ID]*job), workers: make(map[workers.ID]*worker), earlyCancels: make(map[jobs.ID]bool), setAside: make(map[jobs.ID]*job),
 		pools: make(map[string]*pool), workersWithAcks: make(map[*worker]struct{}),
 		unconfirmed: make(map[*taskAttempt]struct{}), queueWork: make(queueWorkMeans), backlogs: make(map[string]*queueBacklog), runTimeModel: runtimes.NewModel(),
 		largestWorkers: make(map[string]jobs.Resources),
--- a/execution/watches.go
+++ b/execution/watches.go
@@ -107,13 +107,13 @@
 		t.earlyCancels[id] = true
 		return
 	}
-	if t.jobs[id] != nil || t.setAside[id] {
+	if _, aside := t.setAside[id]; aside || t.jobs[id] != nil {
 		return
 	}
 	spec, err := decodeSpec(id, row)
 	if err != nil {
 		t.opts.Invalid.Report(invalid.SourceJob, name, row.Version, err)
-		t.setAside[id] = true
+		t.setAside[id] = nil
 		return
 	}
 	j := &job{
@@ -149,7 +149,7 @@
 
 // cancel ends a job whose stored public state is already cancelled.
 func (t *Term) cancel(j *job) {
-	if j.cancelled || j.removed {
+	if j.cancelled || j.excluded() {
 		return
 	}
 	j.cancelled = true
