Request advice on the workers that would take the task

Cause: the workers to request advice on were chosen by a short list of conditions of their own: usable, and enough free capacity. The first 30 of these may all be of no use to the step (label, data, rack, spread, held capacity, failing workers, unused CPU, interference). They are not refused, so that each request names them again, and a ticket of one of them counted as enough. Change: the placement check has the ticket as its last condition, and says apart whether a worker is refused or lacks only a ticket. A request names those that lack only a ticket, the best first, and for tasks with a near place those there first. A step wants advice when a placement has met such a worker. As steps that cannot be placed may now ask again and again, they take turns: one that has waited for 1 s goes first (TestRequestsForAdviceTakeTurns, which fails without the turns).

--- a/execution/activation.go
+++ b/execution/activation.go
@@ -133,7 +133,7 @@
 		return
 	}
 	switch reason {
-	case placement.ReasonNotAllowed, placement.ReasonTooLarge:
+	case placement.ReasonNotAllowed, placement.ReasonNoTicket, placement.ReasonTooLarge:
 		// Further workers do not help: they first need advice, or are no larger.
 	case placement.ReasonNonLocal:
 		t.activateWithLabel(p, step.Affinity)
--- a/execution/advice.go
+++ b/execution/advice.go
@@ -1,10 +1,13 @@
 package execution
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bronzehook/jobs"
 	"bronzehook/logging"
+	"bronzehook/placement"
 	"bronzehook/workers"
 )
 
@@ -15,16 +18,24 @@
 	maxWorkersPerRequest = 30
 	// ticketExpiryMargin is subtracted from the validity of a ticket to allow for the network latency of the start
 	// command.
-	ticketExpiryMargin  = 400 * time.Millisecond
+	ticketExpiryMargin = 400 * time.Millisecond
+	// adviceRetryInterval is the least time between two requests for one step.
 	adviceRetryInterval = 250 * time.Millisecond
+	// maxAdviceTurnWait bounds how long the requests for steps that rank higher go before that for a step. A step that has wanted
+	// no advice for adviceTurnMemory waits anew.
+	maxAdviceTurnWait = time.Second
+	adviceTurnMemory  = time.Second
 )
 
 // stepAdvice is the advice received so far on the workers that may run a step.
 type stepAdvice struct {
 	tickets map[workers.ID]ticket
 	// refused holds workers that may not run the step; a refusal is final.
-	refused     map[workers.ID]bool
-	requestedAt time.Duration
+	refused map[workers.ID]bool
+	// nextRequest is when the next request may be sent.
+	nextRequest time.Duration
+	// wantedAt is when advice was last wanted, waitsSince since when the step waits for its turn to request it.
+	wantedAt, waitsSince time.Duration
 }
 
 // ticket is the permission of the advice service to start a step on one incarnation of a worker.
@@ -40,12 +51,19 @@
 	return t.text, ok && t.startTime == w.startTime && now < t.expiresAt-ticketExpiryMargin
 }
 
-// allowed returns a filter for the workers that may run a step of a queue with advice, and requests more advice if none
-// of them has free capacity. It returns nil for a queue without advice, which allows all workers.
-func (t *Term) allowed(j *job, o *occurrence, step int, now time.Duration) func(workers.ID) bool {
-	if j.queue.Advice == nil {
-		return nil
+// on returns what is known of whether the current incarnation of a worker may run the step.
+func (a *stepAdvice) on(w *worker, now time.Duration) placement.Advice {
+	if _, ok := a.ticketFor(w, now); ok {
+		return placement.AdviceGranted
+	}
+	if a.refused[w.id()] {
+		return placement.AdviceRefused
 	}
+	return placement.AdviceUnknown
+}
+
+// adviceFor returns the advice on the workers for a step.
+func (o *occurrence) adviceFor(step int) *stepAdvice {
 	a := o.advice[step]
 	if a == nil {
 		a = &stepAdvice{tickets: make(map[workers.ID]ticket), refused: make(map[workers.ID]bool)}
@@ -54,71 +72,162 @@
 		}
 		o.advice[step] = a
 	}
-	if !t.hasFreeCapacity(a, &j.spec.Steps[step], now) {
-		t.requestAdvice(j, o, step, a, now)
+	return a
+}
+
+// adviceOn returns what is known of whether each worker may run a step; nil for a queue without advice, which allows all workers.
+func (t *Term) adviceOn(j *job, o *occurrence, step int) func(workers.ID) placement.Advice {
+	if j.queue.Advice == nil {
+		return nil
 	}
-	return func(id workers.ID) bool {
+	a, now := o.adviceFor(step), t.opts.Clock()
+	return func(id workers.ID) placement.Advice {
 		w := t.workers[id]
 		if w == nil {
-			return false
+			return placement.AdviceUnknown
 		}
-		_, ok := a.ticketFor(w, now)
-		return ok
+		return a.on(w, now)
 	}
 }
 
-// hasFreeCapacity reports whether a worker with a valid ticket has free capacity for a task of a step.
-func (t *Term) hasFreeCapacity(a *stepAdvice, step *jobs.Step, now time.Duration) bool {
-	for id := range a.tickets {
-		w := t.workers[id]
-		if w == nil || !w.node.Usable || !step.Reserved().Fits(w.node.Free()) {
+// wantAdvice notes that a task cannot be placed without further advice.
+func (t *Term) wantAdvice(unplaced *task) {
+	if unplaced.job.queue.Advice == nil {
+		return
+	}
+	a, now := unplaced.advice(), t.opts.Clock()
+	if slices.ContainsFunc(t.adviceWanted, func(other *task) bool { return other.advice() == a }) {
+		return
+	}
+	if now-a.wantedAt > adviceTurnMemory {
+		a.waitsSince = now
+	}
+	a.wantedAt = now
+	t.adviceWanted = append(t.adviceWanted, unplaced)
+}
+
+// advice returns the advice for the step of a task.
+func (t *task) advice() *stepAdvice { return t.occurrence().adviceFor(t.id.Step) }
+
+// requestAdvice sends a request for the step whose turn it is among those that want advice, unless one is in flight: the service
+// handles requests from one machine sequentially.
+func (t *Term) requestAdvice(now time.Duration) {
+	wanted := t.adviceWanted
+	t.adviceWanted = nil
+	if t.adviceInFlight || t.opts.Advisor == nil {
+		return
+	}
+	sortByTurn(wanted, now)
+	for _, task := range wanted {
+		a := task.advice()
+		if task.ended() || now < a.nextRequest {
 			continue
 		}
-		if _, ok := a.ticketFor(w, now); ok {
-			return true
+		a.waitsSince, a.nextRequest = now, now+adviceRetryInterval
+		if candidates := t.adviceCandidates(task); len(candidates) > 0 {
+			t.sendAdviceRequest(task, candidates, now)
+			return
 		}
 	}
-	return false
 }
 
-// requestAdvice sends one request at a time: the service handles requests from one machine sequentially, and so the
-// first step in scheduling order is answered first.
-func (t *Term) requestAdvice(j *job, o *occurrence, step int, a *stepAdvice, now time.Duration) {
-	if t.adviceInFlight || t.opts.Advisor == nil || now < a.requestedAt+adviceRetryInterval {
-		return
+// sortByTurn sorts tasks that want advice, in the order of the ranks of their jobs, by their turns: those that have waited for
+// maxAdviceTurnWait come first, or requests for steps that rank higher could keep them waiting for ever.
+func sortByTurn(wanted []*task, now time.Duration) {
+	slices.SortStableFunc(wanted, func(a, b *task) int {
+		return cmp.Compare(min(a.advice().waitsSince, now-maxAdviceTurnWait), min(b.advice().waitsSince, now-maxAdviceTurnWait))
+	})
+}
+
+// adviceCandidates returns the workers to request advice on for the step of a task: those that would take the task but for a
+// ticket, the near ones first.
+func (t *Term) adviceCandidates(task *task) []*worker {
+	request := t.adviceRequest(task)
+	var nodes []*placement.Node
+	if near := request; t.restrictToNear(task, &near) {
+		nodes = placement.Unadvised(t.nodes.all, near, maxWorkersPerRequest)
 	}
-	var ids []workers.ID
-	startTimes := make(map[workers.ID]int64)
-	for _, w := range t.active {
-		id := w.id()
-		fits := w.node.Usable && w.node.Registration.Service == j.queue.Service && j.spec.Steps[step].Reserved().Fits(w.node.Free())
-		if fits && !a.refused[id] {
-			ids = append(ids, id)
-			startTimes[id] = w.startTime
-		}
-		if len(ids) == maxWorkersPerRequest {
-			break
+	for _, node := range placement.Unadvised(t.nodes.all, request, maxWorkersPerRequest) {
+		if len(nodes) < maxWorkersPerRequest && !slices.Contains(nodes, node) {
+			nodes = append(nodes, node)
 		}
 	}
-	if len(ids) == 0 {
-		t.poolOf(j.queue.Service).capacityShort = true
-		return
+	candidates := make([]*worker, 0, len(nodes))
+	for _, node := range nodes {
+		candidates = append(candidates, t.nodes.workers[node])
+	}
+	return candidates
+}
+
+// adviceRequest returns the request by which a task is placed.
+func (t *Term) adviceRequest(task *task) placement.Request {
+	o := task.occurrence()
+	switch {
+	case task.current != nil:
+		return t.moveRequest(task)
+	case task.step.Gang:
+		return t.groupRequest(task, t.adviceOn(task.job, o, task.id.Step))
+	}
+	return t.request(task.job, task, o.steps[task.id.Step])
+}
+
+// restrictToNear restricts a request to the workers near the data of a task, or to the rack on which its group would run if all
+// workers were allowed, and reports whether there are such.
+func (t *Term) restrictToNear(task *task, request *placement.Request) bool {
+	tasks := task.occurrence().steps[task.id.Step]
+	near := t.newNearSearch(task.job, task.occurrence(), task.id.Step)
+	if near == nil {
+		return false
+	}
+	if near.onRack && near.place == nil {
+		granted := t.groupRequest(task, grantUnknown(request.Advice))
+		_, waiting := firstWaiting(tasks)
+		near.place = t.placeForAll(t.groupPlaces(near), granted, shapeOf(&granted, waiting))
 	}
-	number := 0
-	for k, other := range j.occurrences {
-		if other == o {
-			number = k
+	return near.restrictGroup(request)
+}
+
+// grantUnknown returns advice that grants what is not known.
+func grantUnknown(advice func(workers.ID) placement.Advice) func(workers.ID) placement.Advice {
+	return func(id workers.ID) placement.Advice {
+		if advice(id) == placement.AdviceRefused {
+			return placement.AdviceRefused
 		}
+		return placement.AdviceGranted
+	}
+}
+
+// sendAdviceRequest requests advice on workers for the step of a task.
+func (t *Term) sendAdviceRequest(task *task, candidates []*worker, now time.Duration) {
+	a := task.advice()
+	a.forgetMissing(t.workers)
+	ids, startTimes := make([]workers.ID, 0, len(candidates)), make(map[workers.ID]int64, len(candidates))
+	for _, w := range candidates {
+		ids = append(ids, w.id())
+		startTimes[w.id()] = w.startTime
 	}
 	t.adviceInFlight = true
-	a.requestedAt = now
-	stepID := jobs.Task{Job: j.spec.ID, Occurrence: number, Step: step}
+	stepID := jobs.Task{Job: task.id.Job, Occurrence: task.id.Occurrence, Step: task.id.Step}
 	t.spawn("advice request", func() {
 		advice, err := t.opts.Advisor.Advise(t.ctx, stepID, ids)
 		t.post(func() { t.handleAdvice(a, stepID, startTimes, now, advice, err) })
 	})
 }
 
+// forgetMissing drops the advice on workers that are gone.
+func (a *stepAdvice) forgetMissing(present map[workers.ID]*worker) {
+	for id := range a.tickets {
+		if present[id] == nil {
+			delete(a.tickets, id)
+		}
+	}
+	for id := range a.refused {
+		if present[id] == nil {
+			delete(a.refused, id)
+		}
+	}
+}
+
 // handleAdvice handles the response of the advice service. A ticket is for the incarnation of the worker that the leader
 // knew when it sent the request, of which startTimes holds the start time: the worker may have started again since.
 func (t *Term) handleAdvice(
--- /dev/null
+++ b/execution/advicecandidates_test.go
@@ -0,0 +1,210 @@
+package execution
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bronzehook/jobs"
+	"bronzehook/manifest"
+	"bronzehook/store/memory"
+	"bronzehook/workers"
+)
+
+// policyAdvisor grants tickets for the workers that its policy allows, and records the requests.
+type policyAdvisor struct {
+	allows func(workers.ID) bool
+	valid  time.Duration
+
+	mu       sync.Mutex
+	requests []adviceCall
+}
+
+type adviceCall struct {
+	step    jobs.Task
+	workers []workers.ID
+}
+
+func (p *policyAdvisor) Advise(_ context.Context, step jobs.Task, ids []workers.ID) (workers.Advice, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, adviceCall{step, ids})
+	advice := workers.Advice{Tickets: make(map[workers.ID]string), Valid: p.valid}
+	for _, id := range ids {
+		if p.allows == nil || p.allows(id) {
+			advice.Tickets[id] = "ticket"
+		}
+	}
+	return advice, nil
+}
+
+// asked returns how often advice on a worker was requested for a job.
+func (p *policyAdvisor) asked(job jobs.ID, id workers.ID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, call := range p.requests {
+		if call.step.Job == job && slices.Contains(call.workers, id) {
+			n++
+		}
+	}
+	return n
+}
+
+// newPolicyRig returns a rig with a queue that needs advice.
+func newPolicyRig(t *testing.T) (*rig, *policyAdvisor) {
+	t.Helper()
+	r, advisor := newRig(t, memory.New()), &policyAdvisor{valid: 3 * time.Second}
+	r.opts.Manifest.Update((&manifest.Manifest{Version: 2, Queues: []manifest.Queue{
+		{Name: testQueue, Service: "s", MaxAttempts: 2, Stretch: 2, LatencyTarget: time.Second, Advice: &manifest.Advice{}},
+	}}).Index())
+	r.opts.Advisor, r.opts.RemoteDataFactor = advisor, 3
+	return r, advisor
+}
+
+// scheduleFor runs scheduling cycles for a while.
+func (r *rig) scheduleFor(span time.Duration) {
+	const interval = 100 * time.Millisecond
+	for range span / interval {
+		r.scheduleAndCommit()
+		r.advanceClock(interval)
+	}
+}
+
+// ordinaryWorkers are more than one request for advice names.
+const ordinaryWorkers = maxWorkersPerRequest + 10
+
+// Guards against a step for which advice is requested again and again on the same workers, of no use for it, and never on those
+// that would take its tasks.
+func TestAdviceIsRequestedOnWorkersThatWouldTakeTheTask(t *testing.T) {
+	bestEffort := func(cpu int) *jobs.Step {
+		step := oneStep(1, cpu)
+		step.BestEffort, step.Image = true, "fill"
+		return &step
+	}
+	for name, c := range map[string]struct {
+		// prepare makes the ordinary workers useless for the step, suit makes one suitable.
+		prepare func(*worker)
+		suit    func(*worker)
+		step    func() jobs.Step
+		count   int
+	}{
+		"label": {
+			suit: func(w *worker) { w.node.Registration.Labels = []string{"b"} },
+			step: func() jobs.Step { s := oneStep(1, 100); s.Requires = "b"; return s },
+		},
+		"near the data": {
+			suit: func(w *worker) { w.node.Registration.Labels = []string{"rack-z"} },
+			step: func() jobs.Step {
+				s := oneStep(1, 100)
+				s.Affinity, s.Estimate = "rack-z", time.Minute
+				return s
+			},
+		},
+		"failing workers": {
+			prepare: func(w *worker) { w.node.Degraded = true },
+			step:    func() jobs.Step { return oneStep(1, 100) },
+		},
+		"held capacity": {
+			prepare: func(w *worker) { held := oneStep(1, 950); w.node.Hold(&held) },
+			step:    func() jobs.Step { return oneStep(1, 100) },
+		},
+		"no unused CPU": {
+			prepare: func(w *worker) { w.node.Reserve(bestEffort(990)) },
+			step:    func() jobs.Step { return *bestEffort(100) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, advisor := newPolicyRig(t)
+			var ordinary []*worker
+			for i := range ordinaryWorkers {
+				ordinary = append(ordinary, r.addWorker(fmt.Sprintf("w%02d", i), 1000))
+			}
+			suitable := r.addWorker("z", 1000)
+			for _, w := range ordinary {
+				if c.prepare != nil {
+					c.prepare(w)
+				}
+			}
+			if c.suit != nil {
+				c.suit(suitable)
+				r.nodes.version++
+			}
+			r.submit("a", c.step())
+			r.scheduleFor(400 * time.Millisecond)
+			if len(suitable.attempts) != 1 {
+				t.Errorf("not started; advice on the suitable worker was requested %d times in %d requests", advisor.asked("a", "z"), len(advisor.requests))
+			}
+		})
+	}
+}
+
+// Guards against a step that needs more workers than one request for advice names, and never gets a ticket for the others.
+func TestAdviceIsRequestedForAllTasksOfAStep(t *testing.T) {
+	spread := func(gang bool) jobs.Step {
+		step := oneStep(ordinaryWorkers, 100)
+		step.AntiAffinity, step.Gang = 1, gang
+		return step
+	}
+	for name, step := range map[string]jobs.Step{"spread over workers": spread(false), "gang": spread(true)} {
+		r, _ := newPolicyRig(t)
+		for i := range ordinaryWorkers {
+			r.addWorker(fmt.Sprintf("w%02d", i), 1000)
+		}
+		j := r.submit("a", step)
+		r.scheduleFor(time.Second)
+		if j.liveAttempts != ordinaryWorkers {
+			t.Errorf("%s: %d of %d tasks started", name, j.liveAttempts, ordinaryWorkers)
+		}
+	}
+}
+
+// Guards against a gang that is spread over racks, as advice was requested on workers of many racks and never on all those of the
+// one that has capacity for it.
+func TestAdviceIsRequestedOnOneRackForAGroup(t *testing.T) {
+	const rackSize, groupSize = 4, 8
+	r, _ := newPolicyRig(t)
+	for i := range ordinaryWorkers {
+		r.addWorker(fmt.Sprintf("w%02d", i), 1000).node.Registration.Rack = fmt.Sprintf("rack-%d", i/rackSize)
+	}
+	for i := range groupSize {
+		// The ordinary workers are the emptier ones.
+		w, other := r.addWorker(fmt.Sprintf("z%d", i), 1000), oneStep(1, 100)
+		w.node.Registration.Rack = "rack-z"
+		w.node.Reserve(&other)
+	}
+	r.nodes.version++
+	step := gangStep(groupSize, 100)
+	step.RackSensitive, step.AntiAffinity, step.Estimate = true, 1, time.Minute
+	j := r.submit("a", step)
+	r.scheduleFor(500 * time.Millisecond)
+	if rack, one := r.onlyRackOf(j.occurrences[0].steps[0]); rack != "rack-z" || !one {
+		t.Errorf("%d of %d started, on rack %q, all there: %v", j.liveAttempts, groupSize, rack, one)
+	}
+}
+
+// Guards against a step that never gets its turn, as steps that rank higher and cannot be placed request advice again and again.
+func TestRequestsForAdviceTakeTurns(t *testing.T) {
+	r, advisor := newPolicyRig(t)
+	advisor.valid = ticketExpiryMargin + 10*time.Millisecond
+	advisor.allows = func(id workers.ID) bool { return strings.HasPrefix(string(id), "w") }
+	for i := range 4 {
+		r.addWorker(fmt.Sprintf("w%d", i), 1000)
+	}
+	for i := range 12 {
+		// A gang that is too large for the service, of which the tickets expire again and again.
+		r.submit(fmt.Sprintf("gang-%02d", i), gangStep(100, 100))
+	}
+	r.scheduleFor(time.Second)
+	long := oneStep(1, 100)
+	long.Estimate = time.Hour
+	r.submit("last", long)
+	r.scheduleFor(2 * maxAdviceTurnWait)
+	if advisor.asked("last", "w0") == 0 {
+		t.Errorf("advice was not requested, beside %d other requests", len(advisor.requests))
+	}
+}
--- a/execution/grouprack.go
+++ b/execution/grouprack.go
@@ -53,7 +53,7 @@
 // groupWaits decides for a group, a gang or a rack-sensitive step of which nothing runs, where it is placed as a whole. It
 // reports whether the group waits for such a place; otherwise the search names a place with capacity for all now, if there is
 // one.
-func (t *Term) groupWaits(s *nearSearch, tasks []*task, allowed func(workers.ID) bool) bool {
+func (t *Term) groupWaits(s *nearSearch, tasks []*task, advice func(workers.ID) placement.Advice) bool {
 	step := tasks[0].step
 	if s == nil || !(step.Gang || s.onRack) || (s.onRack && s.place != nil) {
 		return false
@@ -62,7 +62,7 @@
 	if first == nil || (s.onRack && waiting < 2) || isRunning(tasks) || t.starved(first, t.scheduledAt) {
 		return false
 	}
-	request := t.groupRequest(s, first, allowed)
+	request := t.groupRequest(first, advice)
 	candidates := t.groupPlaces(s)
 	if len(candidates) == 0 {
 		return false
@@ -85,10 +85,10 @@
 }
 
 // groupRequest returns a request for any one task of a group.
-func (t *Term) groupRequest(s *nearSearch, first *task, allowed func(workers.ID) bool) placement.Request {
+func (t *Term) groupRequest(first *task, advice func(workers.ID) placement.Advice) placement.Request {
 	request := placement.Request{
-		Step: first.step, Service: s.job.queue.Service, Interference: t.interference, Allowed: allowed,
-		OnNode: func(workers.ID) int { return 0 }, AllowStarved: t.bestEffortStarved(s.job, first),
+		Step: first.step, Service: first.job.queue.Service, Interference: t.interference, Advice: advice,
+		OnNode: func(workers.ID) int { return 0 }, AllowStarved: t.bestEffortStarved(first.job, first),
 	}
 	if !first.step.Gang {
 		request.Headroom = t.headroom(first, t.scheduledAt)
@@ -174,7 +174,7 @@
 // left for larger groups; nil if there is none.
 func (t *Term) placeForAll(places []*nearPlace, request placement.Request, shape groupShape) *nearPlace {
 	// Advice differs between steps of the same shape.
-	if request.Allowed == nil && slices.ContainsFunc(t.near.unplacedGroups, shape.needsAsMuch) {
+	if request.Advice == nil && slices.ContainsFunc(t.near.unplacedGroups, shape.needsAsMuch) {
 		return nil
 	}
 	var best *nearPlace
@@ -184,7 +184,7 @@
 			best, least = p, fitting
 		}
 	}
-	if best == nil && request.Allowed == nil && len(t.near.unplacedGroups) < maxUnplacedGroups {
+	if best == nil && request.Advice == nil && len(t.near.unplacedGroups) < maxUnplacedGroups {
 		t.near.unplacedGroups = append(t.near.unplacedGroups, shape)
 	}
 	return best
--- a/execution/hold.go
+++ b/execution/hold.go
@@ -5,7 +5,6 @@
 
 	"bronzehook/logging"
 	"bronzehook/placement"
-	"bronzehook/workers"
 )
 
 // maxHolds bounds the waiting tasks for which capacity is held at one time.
@@ -32,12 +31,11 @@
 
 // holdCapacity chooses the worker on which capacity for a task is held: the one with the most free capacity among
 // those that would have enough without the tasks that run to completion.
-func (t *Term) holdCapacity(j *job, task *task, siblings []*task, allowed func(workers.ID) bool, now time.Duration) {
+func (t *Term) holdCapacity(j *job, task *task, siblings []*task, now time.Duration) {
 	if t.holds[task] != nil || !t.mayHold(task, now) {
 		return
 	}
 	request := t.request(j, task, siblings)
-	request.Allowed = allowed
 	node := placement.ChooseHold(t.nodes.all, request)
 	if node == nil {
 		return
--- a/execution/move.go
+++ b/execution/move.go
@@ -56,10 +56,14 @@
 			continue
 		}
 		t.moveSearches++
-		node, refusal := t.moveIndex.NewSearch().Choose(request)
+		search := t.moveIndex.NewSearch()
+		node, refusal := search.Choose(request)
 		if node != nil {
 			return node, placement.ReasonNone
 		}
+		if search.Unadvised() {
+			t.wantAdvice(a.task)
+		}
 		reason = refusal
 		t.moveFailures.Note(&request, refusal)
 		t.noteRefusal(a.task.job.queue.Service, a.task.step, refusal)
@@ -74,7 +78,6 @@
 func (t *Term) moveRequest(task *task) placement.Request {
 	j := task.job
 	request := t.request(j, task, task.occurrence().steps[task.id.Step])
-	request.Allowed = t.allowed(j, task.occurrence(), task.id.Step, t.opts.Clock())
 	request.LocalOnly, request.Headroom = false, 0
 	return request
 }
--- a/execution/placegang.go
+++ b/execution/placegang.go
@@ -1,14 +1,12 @@
 package execution
 
 import (
-	"time"
-
 	"bronzehook/placement"
 	"bronzehook/workers"
 )
 
 // placeGang places all tasks of a gang under one attempt number, or none of them.
-func (t *Term) placeGang(j *job, o *occurrence, number int, now time.Duration) {
+func (t *Term) placeGang(j *job, o *occurrence, number int) {
 	tasks := o.steps[number]
 	for _, task := range tasks {
 		if task.current != nil {
@@ -16,15 +14,13 @@
 		}
 	}
 	defer t.near.noteBacklog(tasks)
-	allowed := t.allowed(j, o, number, now)
+	advice := t.adviceOn(j, o, number)
 	near := t.newNearSearch(j, o, number)
-	if t.groupWaits(near, tasks, allowed) {
+	if t.groupWaits(near, tasks, advice) {
+		t.wantAdvice(tasks[0])
 		return
 	}
-	request := placement.Request{
-		Step: tasks[0].step, Service: j.queue.Service, Interference: t.interference, Allowed: allowed,
-		AllowStarved: t.bestEffortStarved(j, tasks[0]),
-	}
+	request := t.groupRequest(tasks[0], advice)
 	if near.restrictGroup(&request) && t.placeGangBy(tasks, request) {
 		return
 	}
@@ -43,6 +39,9 @@
 		attempt = max(attempt, task.attempt)
 		node, reason := search.Choose(request)
 		if node == nil {
+			if search.Unadvised() {
+				t.wantAdvice(task)
+			}
 			t.noteRefusal(request.Service, step, reason)
 			t.opts.Metrics.placementFailed(reason.String())
 			t.noteUnplaceable(tasks[0], reason)
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -49,6 +49,7 @@
 			t.setJobAside(j, "its placement panicked")
 		}
 	}
+	t.requestAdvice(now)
 }
 
 // compactOrder drops the jobs from the order of which nothing is placed any more.
@@ -123,12 +124,11 @@
 	tasks := o.steps[number]
 	step := &j.spec.Steps[number]
 	if step.Gang {
-		t.placeGang(j, o, number, now)
+		t.placeGang(j, o, number)
 		return
 	}
 	near := t.newNearSearch(j, o, number)
 	defer t.near.noteBacklog(tasks)
-	var allowed func(workers.ID) bool
 	var search *placement.Search
 	refusedHeadroom := math.MaxInt
 	for _, task := range tasks {
@@ -138,23 +138,27 @@
 			continue
 		}
 		if t.holds[task] == nil && t.headroom(task, now) >= refusedHeadroom {
-			t.holdCapacity(j, task, tasks, allowed, now)
+			t.holdCapacity(j, task, tasks, now)
 			continue
 		}
 		if search == nil {
-			search, allowed = t.nodeIndex.NewSearch(), t.allowed(j, o, number, now)
-			if t.groupWaits(near, tasks, allowed) {
+			search = t.nodeIndex.NewSearch()
+			if t.groupWaits(near, tasks, t.adviceOn(j, o, number)) {
+				t.wantAdvice(task)
 				return
 			}
 		}
 		if t.waitsNear(near, task) {
 			continue
 		}
-		if !t.place(j, task, tasks, search, allowed, near) {
+		if !t.place(j, task, tasks, search, near) {
+			if near.waiting() || search.Unadvised() {
+				t.wantAdvice(task)
+			}
 			if !near.waiting() {
 				refusedHeadroom = min(refusedHeadroom, t.headroom(task, now))
 			}
-			t.holdCapacity(j, task, tasks, allowed, now)
+			t.holdCapacity(j, task, tasks, now)
 			t.explainWait(j, task, tasks, now)
 		}
 		if refusedHeadroom == 0 && !t.mayHold(task, now) {
@@ -164,9 +168,8 @@
 }
 
 // place assigns a task to the best worker and reports whether there is one.
-func (t *Term) place(j *job, task *task, siblings []*task, search *placement.Search, allowed func(workers.ID) bool, near *nearSearch) bool {
+func (t *Term) place(j *job, task *task, siblings []*task, search *placement.Search, near *nearSearch) bool {
 	request := t.request(j, task, siblings)
-	request.Allowed = allowed
 	t.preferNear(near, task, &request)
 	if near.waiting() {
 		t.noteWaitNear(j.queue.Service, task.step)
@@ -219,6 +222,7 @@
 func (t *Term) request(j *job, task *task, siblings []*task) placement.Request {
 	request := placement.Request{
 		Step: task.step, Service: j.queue.Service, Avoid: task.avoidWorker, Interference: t.interference,
+		Advice:   t.adviceOn(j, task.occurrence(), task.id.Step),
 		Headroom: t.headroom(task, t.scheduledAt), Offset: t.nextOffset(),
 	}
 	if task.step.LongRunning {
--- a/placement/failures.go
+++ b/placement/failures.go
@@ -50,7 +50,7 @@
 // Note records a refusal. Refusals that depend on the placement of the step's other tasks, or on the workers that the
 // step is allowed to use, are not recorded, because they do not apply to other steps.
 func (f *Failures) Note(request *Request, reason Reason) {
-	if reason == ReasonSpread || request.Step.AntiAffinity > 0 || request.Allowed != nil {
+	if reason == ReasonSpread || request.Step.AntiAffinity > 0 || request.Advice != nil {
 		return
 	}
 	if f.smallest == nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,8 +13,8 @@
 	Service string
 	// OnNode returns the number of tasks of the same step and occurrence on a worker.
 	OnNode func(workers.ID) int
-	// Allowed reports whether a worker may run the step; nil allows all.
-	Allowed func(workers.ID) bool
+	// Advice returns what is known of whether a worker may run the step; nil grants all.
+	Advice func(workers.ID) Advice
 	// RackInUse is the rack on which the other tasks of a rack-sensitive step run; empty if there are none.
 	RackInUse string
 	// Avoid names a worker that is avoided because the task failed or was slow there; empty if there is none.
@@ -63,7 +63,7 @@
 	return best
 }
 
-// isTransient reports whether the reason for a refusal will cease to apply when other work ends.
+// isTransient reports whether the reason for a refusal may cease to apply when other work ends.
 func isTransient(reason Reason) bool {
 	switch reason {
 	case ReasonNone, ReasonNoCapacity, ReasonNoMemory, ReasonHeadroom:
@@ -88,17 +88,17 @@
 
 // check returns the reason for which a task cannot be placed on a worker; ReasonNone means that it can.
 func check(node *Node, request *Request) Reason {
-	step, reserved := request.Step, request.Step.Reserved()
+	step, reserved, advice := request.Step, request.Step.Reserved(), request.adviceOn(node)
 	switch {
 	case !node.Usable || node.Registration.Service != request.Service:
 		return ReasonNoWorker
 	case node.Degraded && !step.LongRunning:
 		// A batch task ends sooner on another worker, even after a wait. A long-running task has to run wherever it fits.
 		return ReasonDegraded
-	case request.Allowed != nil && !request.Allowed(node.Registration.ID):
-		return ReasonNotAllowed
 	case step.Requires != "" && !node.Registration.HasLabel(step.Requires):
 		return ReasonNoLabel
+	case advice == AdviceRefused:
+		return ReasonNotAllowed
 	case request.LocalOnly && !node.Registration.HasLabel(step.Affinity):
 		return ReasonNonLocal
 	case request.RackOnly && node.Registration.Rack != request.RackInUse:
@@ -115,7 +115,13 @@
 		return ReasonSpread
 	}
 	if step.BestEffort {
-		return checkBestEffort(node, request)
+		if reason := checkBestEffort(node, request); reason != ReasonNone {
+			return reason
+		}
+	}
+	// Advice is requested for the workers that would take the task, so this comes after all other reasons.
+	if advice == AdviceUnknown {
+		return ReasonNoTicket
 	}
 	return ReasonNone
 }
--- a/placement/reason.go
+++ b/placement/reason.go
@@ -7,7 +7,10 @@
 const (
 	ReasonNone Reason = iota
 	ReasonNoWorker
+	// ReasonNotAllowed means that the advice refused the worker, ReasonNoTicket that the worker would take the task if the advice
+	// on it, which is unknown, granted it.
 	ReasonNotAllowed
+	ReasonNoTicket
 	ReasonNoLabel
 	ReasonTooLarge
 	ReasonNonLocal
@@ -21,7 +24,7 @@
 )
 
 var reasonNames = [...]string{
-	ReasonNone: "", ReasonNoWorker: "no-worker", ReasonNotAllowed: "not-allowed-by-advice", ReasonNoLabel: "no-worker-with-label",
+	ReasonNone: "", ReasonNoWorker: "no-worker", ReasonNotAllowed: "not-allowed-by-advice", ReasonNoTicket: "no-ticket", ReasonNoLabel: "no-worker-with-label",
 	ReasonTooLarge: "larger-than-any-worker", ReasonNonLocal: "far-from-its-data", ReasonDegraded: "troubled-worker",
 	ReasonSpread: "spread-over-workers", ReasonInterference: "kept-apart-from-serving-tasks",
 	ReasonHeadroom: "headroom-for-more-urgent-tasks", ReasonNoCapacity: "no-room", ReasonNoMemory: "no-memory",
@@ -36,7 +39,7 @@
 
 // specificity ranks the reasons: of those that the workers give, the most specific one is reported.
 var specificity = [...]uint8{
-	ReasonNoWorker: 0, ReasonNotAllowed: 1, ReasonNoLabel: 1, ReasonTooLarge: 2, ReasonNonLocal: 2, ReasonDegraded: 2, ReasonSpread: 3,
+	ReasonNoWorker: 0, ReasonNoLabel: 1, ReasonNotAllowed: 2, ReasonNoTicket: 3, ReasonTooLarge: 2, ReasonNonLocal: 2, ReasonDegraded: 2, ReasonSpread: 3,
 	ReasonInterference: 4, ReasonHeadroom: 5, ReasonNoCapacity: 6, ReasonNoMemory: 6, ReasonNoUnusedCPU: 6,
 }
 
--- a/placement/search.go
+++ b/placement/search.go
@@ -99,6 +99,8 @@
 	candidates []candidate
 	chosen     int
 	reason     Reason
+	// unadvised is set once a worker was refused for want of advice alone.
+	unadvised bool
 }
 
 // candidate is a worker that can take a task.
@@ -209,6 +211,7 @@
 		return true
 	}
 	s.reason = moreSpecific(s.reason, refusal)
+	s.unadvised = s.unadvised || refusal == ReasonNoTicket
 	if refusal.isShortage() || refusal == ReasonInterference {
 		s.index.free[i] = freeCapacityOf(node)
 	}
--- a/placement/search_test.go
+++ b/placement/search_test.go
@@ -83,9 +83,9 @@
 		}
 		examined := 0
 		r := request(s)
-		r.Allowed = func(workers.ID) bool {
+		r.Advice = func(workers.ID) placement.Advice {
 			examined++
-			return true
+			return placement.AdviceGranted
 		}
 		var index placement.Index
 		index.Refresh(nodes)
