Keep a refusal by the advice for one incarnation of a worker

Cause: a refusal was kept by the ID of the worker. A worker that starts again under its ID may be of another kind, but was never asked about again, while tickets are kept for one incarnation. Evidence: TestRefusalIsForOneIncarnation failed before (not started on the next incarnation). Change: refusals name the incarnation as tickets do. Result: the test passes.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -30,8 +30,8 @@
 // stepAdvice is the advice received so far on the workers that may run a step.
 type stepAdvice struct {
 	tickets map[workers.ID]ticket
-	// refused holds workers that may not run the step; a refusal is final.
-	refused map[workers.ID]bool
+	// refused holds the start times of the incarnations that may not run the step; a refusal is final.
+	refused map[workers.ID]int64
 	// nextRequest is when the next request may be sent.
 	nextRequest time.Duration
 	// wantedAt is when advice was last wanted, waitsSince since when the step waits for its turn to request it.
@@ -56,7 +56,7 @@
 	if _, ok := a.ticketFor(w, now); ok {
 		return placement.AdviceGranted
 	}
-	if a.refused[w.id()] {
+	if startTime, ok := a.refused[w.id()]; ok && startTime == w.startTime {
 		return placement.AdviceRefused
 	}
 	return placement.AdviceUnknown
@@ -66,7 +66,7 @@
 func (o *occurrence) adviceFor(step int) *stepAdvice {
 	a := o.advice[step]
 	if a == nil {
-		a = &stepAdvice{tickets: make(map[workers.ID]ticket), refused: make(map[workers.ID]bool)}
+		a = &stepAdvice{tickets: make(map[workers.ID]ticket), refused: make(map[workers.ID]int64)}
 		if o.advice == nil {
 			o.advice = make(map[int]*stepAdvice)
 		}
@@ -247,7 +247,7 @@
 	for id, startTime := range startTimes {
 		text, ok := advice.Tickets[id]
 		if !ok {
-			a.refused[id] = true
+			a.refused[id] = startTime
 			continue
 		}
 		a.tickets[id] = ticket{text: text, startTime: startTime, expiresAt: requestedAt + advice.Valid}
--- a/execution/advicecandidates_test.go
+++ b/execution/advicecandidates_test.go
@@ -208,3 +208,26 @@
 		t.Errorf("advice was not requested, beside %d other requests", len(advisor.requests))
 	}
 }
+
+// Guards against a worker that is never asked about again because an earlier incarnation, of another kind, was refused.
+func TestRefusalIsForOneIncarnation(t *testing.T) {
+	r, advisor := newPolicyRig(t)
+	w := r.addWorker("w", 1000)
+	refuse := true
+	advisor.allows = func(workers.ID) bool { return !refuse }
+	r.submit("a", oneStep(1, 100))
+	r.scheduleFor(time.Second)
+	if n := advisor.asked("a", "w"); n != 1 {
+		t.Fatalf("asked %d times about a worker that was refused", n)
+	}
+	refuse = false
+	for range 2 {
+		// The second poll has the raised fencing token.
+		r.pollAs(w, laterStartTime, 10)
+	}
+	r.refreshNodes(r.clock)
+	r.scheduleFor(time.Second)
+	if r.client.startCount() != 1 {
+		t.Error("not started on the next incarnation")
+	}
+}
