Activate further workers when the active ones are refused

Cause: a refusal for want of advice activated no further workers, also if the advice had refused all active ones that would take the task. Change: refused workers count like workers without capacity; those that lack only a ticket still activate nothing.

--- a/execution/activation.go
+++ b/execution/activation.go
@@ -133,8 +133,14 @@
 		return
 	}
 	switch reason {
-	case placement.ReasonNotAllowed, placement.ReasonNoTicket, placement.ReasonTooLarge:
-		// Further workers do not help: they first need advice, or are no larger.
+	case placement.ReasonNoTicket, placement.ReasonTooLarge:
+		// Further workers do not help: there are some to request advice on, or they are no larger.
+	case placement.ReasonNotAllowed:
+		if step.Requires != "" {
+			t.activateWithLabel(p, step.Requires)
+			return
+		}
+		p.capacityShort = true
 	case placement.ReasonNonLocal:
 		t.activateWithLabel(p, step.Affinity)
 		// Without affinity, the tasks of the step are kept on one rack.
--- a/execution/advicecandidates_test.go
+++ b/execution/advicecandidates_test.go
@@ -231,3 +231,23 @@
 		t.Error("not started on the next incarnation")
 	}
 }
+
+// Guards against a task that waits for inactive workers, as all active ones that would take it are refused.
+func TestWorkersAreActivatedAfterRefusals(t *testing.T) {
+	r, advisor := newPolicyRig(t)
+	r.registerWorkers(2000, 32_000)
+	r.runFor(100 * time.Millisecond)
+	for n := 1960; n < 2000; n++ {
+		w := r.workers[workers.ID(fmt.Sprintf("w%04d", n))]
+		w.node.Registration.Labels = append(w.node.Registration.Labels, "rare")
+	}
+	refused := 0
+	advisor.allows = func(workers.ID) bool { refused++; return refused > maxActivatedPerLabel }
+	step := oneStep(1, 1000)
+	step.Requires = "rare"
+	r.submit("a", step)
+	r.runFor(time.Second)
+	if r.client.startCount() == 0 {
+		t.Errorf("not started after %d requests for advice", len(advisor.requests))
+	}
+}
