Hold capacity for lasting tasks on queues with advice

Cause: capacity was held only on workers with a ticket, and tickets were requested only for workers with free capacity. A lasting task on a full service had no hold, and batch tasks took each piece that was released. Change: a missing ticket may pass like a shortage, and a hold on a refused worker is released. Result: the test passes in both forms.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// adviceRefuses reports whether a task may not run on a worker.
+func (t *Term) adviceRefuses(task *task, node *placement.Node) bool {
+	a, w := task.occurrence().advice[task.id.Step], t.nodes.workers[node]
+	return a != nil && w != nil && a.on(w, t.opts.Clock()) == placement.AdviceRefused
+}
+
 // wantAdvice notes that a task cannot be placed without further advice.
 func (t *Term) wantAdvice(unplaced *task) {
 	if unplaced.job.queue.Advice == nil {
--- a/execution/advicecandidates_test.go
+++ b/execution/advicecandidates_test.go
@@ -251,3 +251,28 @@
 		t.Errorf("not started after %d requests for advice", len(advisor.requests))
 	}
 }
+
+// Guards against a lasting task on a queue with advice for which no capacity is ever held, as there are tickets only for workers
+// with free capacity; and against capacity that stays held on a worker that is refused.
+func TestCapacityIsHeldBeforeAdvice(t *testing.T) {
+	for name, allowed := range map[string]bool{"granted": true, "refused": false} {
+		r, advisor := newPolicyRig(t)
+		advisor.allows = func(workers.ID) bool { return allowed }
+		w := r.addWorker("w", 1000)
+		short := oneStep(1, 250)
+		w.node.Reserve(&short)
+		step := oneStep(1, 900)
+		step.LongRunning = true
+		r.submit("lasting", step)
+		r.advanceClock(holdAfter + time.Millisecond)
+		r.scheduleAndCommit()
+		if w.node.Held.CPU != 900 {
+			t.Fatalf("%s: held: %+v", name, w.node.Held)
+		}
+		w.node.Release(&short)
+		r.scheduleFor(200 * time.Millisecond)
+		if started := len(w.attempts) == 1; started != allowed || len(r.holds) != 0 {
+			t.Errorf("%s: started %v, %d holds", name, started, len(r.holds))
+		}
+	}
+}
--- a/execution/hold.go
+++ b/execution/hold.go
@@ -52,7 +52,7 @@
 func (t *Term) refreshHolds() {
 	for task, node := range t.holds {
 		needed := task.current == nil && !task.done && !task.job.terminal() && !task.job.excluded()
-		if !needed || !node.Usable || !task.step.Reserved().Fits(node.FreeWithoutBatch()) {
+		if !needed || !node.Usable || !task.step.Reserved().Fits(node.FreeWithoutBatch()) || t.adviceRefuses(task, node) {
 			t.releaseHold(task)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,7 +66,7 @@
 // isTransient reports whether the reason for a refusal may cease to apply when other work ends.
 func isTransient(reason Reason) bool {
 	switch reason {
-	case ReasonNone, ReasonNoCapacity, ReasonNoMemory, ReasonHeadroom:
+	case ReasonNone, ReasonNoTicket, ReasonNoCapacity, ReasonNoMemory, ReasonHeadroom:
 		return true
 	}
 	return false
