Use one budget per second for raised tokens and hedged calls

The same counter stood in execution (hedgeBudget) and in package overdue, with the same limit for the same reason. Hedged calls now use that of overdue.

--- a/execution/commands.go
+++ b/execution/commands.go
@@ -251,7 +251,7 @@
 		case a.phase != phaseSent:
 			a.hedgeAt, a.fenceAt = 0, 0
 		case a.fenceAt > 0 && now >= a.fenceAt && t.fenceOverdueStart(a, now):
-		case a.hedgeAt > 0 && now >= a.hedgeAt && (a.held || t.hedges.take(now)):
+		case a.hedgeAt > 0 && now >= a.hedgeAt && (a.held || t.hedges.Take(now)):
 			t.hedgeStart(a, now)
 		}
 		t.noteNextOverdue(a, now)
--- a/execution/hedge.go
+++ b/execution/hedge.go
@@ -14,8 +14,6 @@
 	// hedgeAfter is how long a response may take, beyond the poll wait of a long poll, before it is overdue. Workers in
 	// another region respond within 30 ms.
 	hedgeAfter = overdue.After
-	// hedgesPerSecond bounds the hedged calls: to a leader that is slow itself, all responses seem overdue.
-	hedgesPerSecond = 24
 	// lossyPollWait is the poll wait while responses of several workers were lost recently: a termination whose report
 	// was lost is reported again in the response to the next poll.
 	lossyPollWait = 400 * time.Millisecond
@@ -25,21 +23,6 @@
 	minLossyWorkers    = 2
 )
 
-// hedgeBudget limits the hedged calls of each second.
-type hedgeBudget struct {
-	second time.Duration
-	taken  int
-}
-
-// take reports whether another call may be hedged in the current second, and counts it.
-func (b *hedgeBudget) take(now time.Duration) bool {
-	if second := now.Truncate(time.Second); second != b.second {
-		b.second, b.taken = second, 0
-	}
-	b.taken++
-	return b.taken <= hedgesPerSecond
-}
-
 // lostResponses holds for each worker when a call to it last got no response.
 type lostResponses map[workers.ID]time.Duration
 
--- a/execution/hedge_test.go
+++ b/execution/hedge_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"bronzehook/jobs"
+	"bronzehook/overdue"
 	"bronzehook/store/memory"
 	"bronzehook/workers"
 )
@@ -270,14 +271,14 @@
 
 // Guards against a slow leader that doubles its calls because all responses seem overdue to it.
 func TestHedgedCallsAreRateLimited(t *testing.T) {
-	var b hedgeBudget
+	var b overdue.Budget
 	taken := 0
 	for range 1000 {
-		if b.take(time.Hour) {
+		if b.Take(time.Hour) {
 			taken++
 		}
 	}
-	if taken != hedgesPerSecond || !b.take(time.Hour+time.Second) {
+	if taken != overdue.BudgetPerSecond || !b.Take(time.Hour+time.Second) {
 		t.Errorf("%d of 1000 calls hedged in one second", taken)
 	}
 }
--- a/execution/poll.go
+++ b/execution/poll.go
@@ -28,7 +28,7 @@
 		if w.pollsTooLong() {
 			t.pollAgain(w)
 		}
-		if w.polling && w.hedgeAt > 0 && now >= w.hedgeAt && t.hedges.take(now) {
+		if w.polling && w.hedgeAt > 0 && now >= w.hedgeAt && t.hedges.Take(now) {
 			t.hedgePoll(w, now)
 			continue
 		}
--- a/execution/startgate_test.go
+++ b/execution/startgate_test.go
@@ -305,8 +305,8 @@
 		r.retryAfter(heldStartInterval)
 	}
 	counted := testutil.ToFloat64(r.opts.Metrics.overdueStarts.WithLabelValues(overdue.ActionRepeat.String()))
-	if !a.held || counted != 1 || r.hedges.taken > 1 {
-		t.Errorf("held %v, counted as overdue %v times, %d hedged calls", a.held, counted, r.hedges.taken)
+	if !a.held || counted != 1 || r.hedges.Taken() > 1 {
+		t.Errorf("held %v, counted as overdue %v times, %d hedged calls", a.held, counted, r.hedges.Taken())
 	}
 	r.knowAll()
 	r.retryAfter(heldStartInterval)
--- a/execution/term.go
+++ b/execution/term.go
@@ -110,7 +110,7 @@
 	canPlaceTwoByStep map[*jobs.Step]bool
 	// usableCount counts the usable workers; usableCPU is the sum of their CPU capacity, in thousandths of a core.
 	usableCount, usableCPU int
-	hedges                 hedgeBudget
+	hedges                 overdue.Budget
 	// raises limits the fencing tokens that are raised for overdue starts; overdueAt is when the next start is overdue, 0 if
 	// none is open.
 	raises        overdue.Budget
--- a/overdue/overdue.go
+++ b/overdue/overdue.go
@@ -12,8 +12,9 @@
 	// MinRaiseInterval is the minimum time between two raises for one worker. With After and the round trip of a poll it keeps
 	// the time until a task is placed again within 500 ms.
 	MinRaiseInterval = 250 * time.Millisecond
-	// raisesPerSecond bounds the raises for all workers: to a leader that is slow itself, all responses seem overdue.
-	raisesPerSecond = 24
+	// BudgetPerSecond bounds the raises for all workers, and likewise the calls that are sent a second time: to a leader that is slow
+	// itself, all responses seem overdue.
+	BudgetPerSecond = 24
 	// maxRaises bounds the raises for one worker in a term. The token has 4,096 values for each worker and term, which changes
 	// of carriers and restarts of the worker need, too.
 	maxRaises = 2048
@@ -59,24 +60,27 @@
 	RaisedAt time.Duration
 }
 
-// Budget limits the raises of each second.
+// Budget limits what is done about overdue responses in each second.
 type Budget struct {
 	second time.Duration
 	taken  int
 }
 
-// take reports whether another token may be raised in the current second, and counts it.
-func (b *Budget) take(now time.Duration) bool {
+// Take reports whether something may be done about another response in the current second, and counts it.
+func (b *Budget) Take(now time.Duration) bool {
 	if second := now.Truncate(time.Second); second != b.second {
 		b.second, b.taken = second, 0
 	}
-	if b.taken == raisesPerSecond {
+	if b.taken == BudgetPerSecond {
 		return false
 	}
 	b.taken++
 	return true
 }
 
+// Taken returns how much of the budget was used in the latest second in which any was.
+func (b *Budget) Taken() int { return b.taken }
+
 // Decide returns what happens to an overdue start. leaderLag is by how much the leader handles events late.
 func Decide(w Worker, leaderLag, now time.Duration, budget *Budget) Action {
 	switch {
@@ -88,7 +92,7 @@
 		return ActionRepeat
 	case w.RaisedAt > 0 && now < w.RaisedAt+MinRaiseInterval:
 		return ActionWait
-	case !budget.take(now):
+	case !budget.Take(now):
 		return ActionRepeat
 	}
 	return ActionRaise
--- a/overdue/overdue_test.go
+++ b/overdue/overdue_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var budget Budget
-			for c.spent && budget.take(now) {
+			for c.spent && budget.Take(now) {
 			}
 			if got := Decide(c.worker, c.lag, now, &budget); got != c.want {
 				t.Errorf("%v, want %v", got, c.want)
@@ -44,7 +44,7 @@
 			raised++
 		}
 	}
-	if raised != raisesPerSecond || Decide(Worker{Reachable: true}, 0, time.Hour+time.Second, &budget) != ActionRaise {
+	if raised != BudgetPerSecond || Decide(Worker{Reachable: true}, 0, time.Hour+time.Second, &budget) != ActionRaise {
 		t.Errorf("%d raises in one second", raised)
 	}
 }
