Request no advice on far workers while a task waits for a near one

Cause: with the candidates of the placement, a task that waits for a near place named 30 far workers after the near ones, again and again while the tickets expire. One request is in flight at a time, so that requests for other steps were delayed. Evidence: TestNoAdviceOnFarWorkersWhileATaskWaits failed before (asked about the far worker once in 0.5 s, as often as its ticket expires). Change: while the task waits for a near place only workers there are named. A queue whose advice was dropped from the manifest since the task was noted is left out.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -126,7 +126,7 @@
 	sortByTurn(wanted, now)
 	for _, task := range wanted {
 		a := task.advice()
-		if task.ended() || now < a.nextRequest {
+		if task.ended() || task.job.queue.Advice == nil || now < a.nextRequest {
 			continue
 		}
 		a.waitsSince, a.nextRequest = now, now+adviceRetryInterval
@@ -146,14 +146,17 @@
 }
 
 // adviceCandidates returns the workers to request advice on for the step of a task: those that would take the task but for a
-// ticket, the near ones first.
+// ticket, the near ones first, and no others while the task waits for one of these.
 func (t *Term) adviceCandidates(task *task) []*worker {
 	request := t.adviceRequest(task)
-	var nodes []*placement.Node
+	var nodes, others []*placement.Node
 	if near := request; t.restrictToNear(task, &near) {
 		nodes = placement.Unadvised(t.nodes.all, near, maxWorkersPerRequest)
 	}
-	for _, node := range placement.Unadvised(t.nodes.all, request, maxWorkersPerRequest) {
+	if !task.nearOutcome.Waits() {
+		others = placement.Unadvised(t.nodes.all, request, maxWorkersPerRequest)
+	}
+	for _, node := range others {
 		if len(nodes) < maxWorkersPerRequest && !slices.Contains(nodes, node) {
 			nodes = append(nodes, node)
 		}
--- a/execution/advicecandidates_test.go
+++ b/execution/advicecandidates_test.go
@@ -209,6 +209,29 @@
 	}
 }
 
+// Guards against requests for advice on far workers while a task waits for a near one, which delay the requests for other steps.
+func TestNoAdviceOnFarWorkersWhileATaskWaits(t *testing.T) {
+	r, advisor := newPolicyRig(t)
+	r.addWorker("far", 1000)
+	near := r.addWorker("near", 1000)
+	near.node.Registration.Labels = []string{"rack-z"}
+	r.nodes.version++
+	running := oneStep(1, 900)
+	running.Requires, running.Estimate = "rack-z", 4*time.Second
+	r.submit("running", running)
+	r.scheduleFor(300 * time.Millisecond)
+	if len(near.attempts) != 1 {
+		t.Fatal("the near worker is free")
+	}
+	waiting := oneStep(1, 900)
+	waiting.Affinity, waiting.Estimate = "rack-z", time.Minute
+	j := r.submit("waiting", waiting)
+	r.scheduleFor(500 * time.Millisecond)
+	if task := j.occurrences[0].steps[0][0]; !task.nearOutcome.Waits() || advisor.asked("waiting", "far") != 0 {
+		t.Errorf("outcome %v, asked about the far worker %d times", task.nearOutcome, advisor.asked("waiting", "far"))
+	}
+}
+
 // Guards against a worker that is never asked about again because an earlier incarnation, of another kind, was refused.
 func TestRefusalIsForOneIncarnation(t *testing.T) {
 	r, advisor := newPolicyRig(t)
