Let deferred jobs yield for a bounded time

Cause: a job that is expected to be late gets no exceptions for starved jobs while its queue holds any job that is expected in time. While jobs go on to arrive there always is one, also when most of the service is free. Change: a job yields for at most 10 s after its submission.

--- a/execution/backlog.go
+++ b/execution/backlog.go
@@ -255,10 +255,15 @@
 	j.rank.yielding = t.backlogOf(j.spec.Queue).yielding
 }
 
+// maxYieldTime bounds how long after its submission a job gets no exceptions for starved jobs. While jobs go on to arrive there are
+// always some that can end in time.
+const maxYieldTime = 10 * time.Second
+
 // yieldsToKept reports whether a job gets no exceptions for starved jobs, because it would take capacity from jobs of its queue
 // that are to end in time. Without any of these it would wait for ever, since the queue then stays saturated.
 func (t *Term) yieldsToKept(j *job) bool {
-	return j.standing >= standingDeferred && t.backlogOf(j.spec.Queue).counts[standingKept] > 0
+	age := t.opts.Now().Sub(time.UnixMilli(j.spec.Submitted))
+	return j.standing >= standingDeferred && age < maxYieldTime && t.backlogOf(j.spec.Queue).counts[standingKept] > 0
 }
 
 // maxForecastDelay is the age from which on a forecast is not published. Scheduling may take long on a leader that is short of
