Hold no capacity for tasks while the advice service does not answer

Cause: since holds need no ticket, a lasting task on a queue with advice could hold free capacity, and keep it from other jobs, for as long as the service does not answer: a wait without an end. Evidence: TestNoCapacityIsHeldWhileAdviceIsMissing failed before (900 thousandths held on the only worker). Change: such holds are neither made nor kept while a request has been in flight for 1 s, or the last one failed. Result: the tests on holds and advice pass.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -25,6 +25,8 @@
 	// no advice for adviceTurnMemory waits anew.
 	maxAdviceTurnWait = time.Second
 	adviceTurnMemory  = time.Second
+	// maxAdviceSilence is how long a request may be in flight before the service counts as not answering.
+	maxAdviceSilence = time.Second
 )
 
 // stepAdvice is the advice received so far on the workers that may run a step.
@@ -90,6 +92,16 @@
 	}
 }
 
+// adviceMayCome reports whether a task may be granted the workers on which it has no advice: its queue has none, or the service
+// answers.
+func (t *Term) adviceMayCome(task *task) bool {
+	if task.job.queue.Advice == nil {
+		return true
+	}
+	overdue := t.adviceInFlight && t.opts.Clock()-t.adviceSentAt > maxAdviceSilence
+	return !t.adviceFailed && !overdue
+}
+
 // adviceRefuses reports whether a task may not run on a worker.
 func (t *Term) adviceRefuses(task *task, node *placement.Node) bool {
 	a, w := task.occurrence().advice[task.id.Step], t.nodes.workers[node]
@@ -215,7 +227,7 @@
 		ids = append(ids, w.id())
 		startTimes[w.id()] = w.startTime
 	}
-	t.adviceInFlight = true
+	t.adviceInFlight, t.adviceSentAt = true, now
 	stepID := jobs.Task{Job: task.id.Job, Occurrence: task.id.Occurrence, Step: task.id.Step}
 	t.spawn("advice request", func() {
 		advice, err := t.opts.Advisor.Advise(t.ctx, stepID, ids)
@@ -242,7 +254,7 @@
 func (t *Term) handleAdvice(
 	a *stepAdvice, stepID jobs.Task, startTimes map[workers.ID]int64, requestedAt time.Duration, advice workers.Advice, err error,
 ) {
-	t.adviceInFlight = false
+	t.adviceInFlight, t.adviceFailed = false, err != nil
 	t.scheduleDue = true
 	event := t.log.Info()
 	if err != nil {
--- a/execution/advicecandidates_test.go
+++ b/execution/advicecandidates_test.go
@@ -299,3 +299,19 @@
 		}
 	}
 }
+
+// Guards against capacity that is held for tasks on a queue with advice, and kept from others, while the service does not answer.
+func TestNoCapacityIsHeldWhileAdviceIsMissing(t *testing.T) {
+	advisor := &delayedAdvisor{fakeAdvisor: fakeAdvisor{allowed: "none"}, release: make(chan struct{})}
+	r, w := newAdviceRig(t, advisor)
+	t.Cleanup(func() { close(advisor.release) })
+	step := oneStep(1, 900)
+	step.LongRunning = true
+	r.submit("lasting", step)
+	r.scheduleFor(300 * time.Millisecond)
+	r.advanceClock(holdAfter)
+	r.scheduleFor(300 * time.Millisecond)
+	if w.node.Held != (jobs.Resources{}) {
+		t.Errorf("held: %+v", w.node.Held)
+	}
+}
--- a/execution/hold.go
+++ b/execution/hold.go
@@ -32,7 +32,7 @@
 // holdCapacity chooses the worker on which capacity for a task is held: the one with the most free capacity among
 // those that would have enough without the tasks that run to completion.
 func (t *Term) holdCapacity(j *job, task *task, siblings []*task, now time.Duration) {
-	if t.holds[task] != nil || !t.mayHold(task, now) {
+	if t.holds[task] != nil || !t.mayHold(task, now) || !t.adviceMayCome(task) {
 		return
 	}
 	request := t.request(j, task, siblings)
@@ -52,7 +52,8 @@
 func (t *Term) refreshHolds() {
 	for task, node := range t.holds {
 		needed := task.current == nil && !task.done && !task.job.terminal() && !task.job.excluded()
-		if !needed || !node.Usable || !task.step.Reserved().Fits(node.FreeWithoutBatch()) || t.adviceRefuses(task, node) {
+		grantable := t.adviceMayCome(task) && !t.adviceRefuses(task, node)
+		if !needed || !grantable || !node.Usable || !task.step.Reserved().Fits(node.FreeWithoutBatch()) {
 			t.releaseHold(task)
 		}
 	}
--- a/execution/term.go
+++ b/execution/term.go
@@ -159,10 +159,12 @@
 	moveFailures placement.Failures
 	moveSearches int
 
-	// adviceInFlight is set while a request to the advice service is in flight. adviceWanted holds the tasks that cannot be placed
-	// without further advice, at most one of a step, since the last scheduling cycle ended.
-	adviceInFlight bool
-	adviceWanted   []*task
+	// adviceInFlight is set while a request to the advice service, sent at adviceSentAt, is in flight; adviceFailed is set if the
+	// one before failed. adviceWanted holds the tasks that cannot be placed without further advice, at most one of a step, since the
+	// last scheduling cycle ended.
+	adviceInFlight, adviceFailed bool
+	adviceSentAt                 time.Duration
+	adviceWanted                 []*task
 
 	// obsoleteRecords holds the keys of progress records of ended jobs, which are to be deleted.
 	obsoleteRecords []store.Key
