Let starved jobs use held capacity

Cause: capacity is held for a lasting task until the batch tasks on the worker have ended, however long these take. Evidence: TestNoReasonKeepsAJobIdleForEver, with held capacity as a further reason, failed in all 9 combinations with it. Change: the exception covers held capacity as it covers headroom.

--- a/execution/grouprack.go
+++ b/execution/grouprack.go
@@ -90,6 +90,7 @@
 		Step: first.step, Service: first.job.queue.Service, Interference: t.interference, Advice: advice,
 		OnNode: func(workers.ID) int { return 0 }, AllowStarved: t.bestEffortStarved(first.job, first),
 	}
+	request.UseHeld = request.AllowStarved || t.starved(first, t.scheduledAt)
 	if !first.step.Gang {
 		request.Headroom = t.headroom(first, t.scheduledAt)
 	}
--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -154,7 +154,7 @@
 	return found >= 2
 }
 
-// starved reports whether a batch task gets what is free even if that is headroom, or far from its data: its job has nothing
+// starved reports whether a batch task gets what is free even if that is headroom, held, or far from its data: its job has nothing
 // running and has waited for maxHeadroomWait although the service is mostly unused and has free capacity for two such
 // tasks. Headroom for work that may come and a worker near the data are preferences, which must not keep a task for ever
 // from the capacity that is there. It applies to one task of a job at a time.
--- a/execution/idlejob_test.go
+++ b/execution/idlejob_test.go
@@ -51,6 +51,11 @@
 			step.Affinity = "rack-0"
 		}},
 		{name: "group without a rack for all", prepare: func(_ *rig, step *jobs.Step) { step.Count, step.RackSensitive = 6, true }},
+		{name: "capacity held for lasting tasks", keep: func(r *rig, _ *job) {
+			for _, w := range r.active {
+				w.node.Held = jobs.Resources{CPU: 950, MemoryMB: 99_995}
+			}
+		}},
 		{name: "failed on a worker", keep: func(r *rig, j *job) { j.occurrences[0].steps[0][0].avoidWorker = r.active[1].id() }},
 	}
 }
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -237,6 +237,7 @@
 	}
 	request.AllowStarved = t.bestEffortStarved(j, task)
 	request.UseWithheld = t.mayUseWithheld(task)
+	request.UseHeld = request.AllowStarved || t.starved(task, t.scheduledAt)
 	return request
 }
 
--- a/placement/failures.go
+++ b/placement/failures.go
@@ -12,7 +12,7 @@
 type requestKind struct {
 	service, requires, image              string
 	bestEffort, longRunning, allowStarved bool
-	useWithheld                           bool
+	useWithheld, useHeld                  bool
 	headroom, slotCPU, maxLostSlots       int
 	// localTo is the affinity label that the worker must have, while the task waits for a local worker.
 	localTo string
@@ -24,7 +24,7 @@
 	step := request.Step
 	k := requestKind{
 		service: request.Service, requires: step.Requires, bestEffort: step.BestEffort, longRunning: step.LongRunning,
-		allowStarved: request.AllowStarved, useWithheld: request.UseWithheld}
+		allowStarved: request.AllowStarved, useWithheld: request.UseWithheld, useHeld: request.UseHeld}
 	k.headroom = request.Headroom
 	if step.LongRunning {
 		k.slotCPU, k.maxLostSlots = request.SlotCPU, request.MaxLostSlots
--- a/placement/node.go
+++ b/placement/node.go
@@ -83,7 +83,7 @@
 	if !request.UseWithheld {
 		free.CPU -= n.withheld()
 	}
-	if request.Step.LongRunning {
+	if request.mayUseHeld() {
 		return free
 	}
 	return free.Sub(n.Held)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,8 +35,9 @@
 	// AllowStarved lets a best-effort task start where too little CPU is unused, or where it may interfere with latency-critical
 	// tasks.
 	AllowStarved bool
-	// UseWithheld lets a task use capacity that is withheld while a data centre is filled gradually.
-	UseWithheld bool
+	// UseWithheld lets a task use capacity that is withheld while a data centre is filled gradually, UseHeld capacity that is held
+	// for long-running tasks.
+	UseWithheld, UseHeld bool
 }
 
 // Accepts reports whether a task can be placed on a worker.
@@ -81,6 +82,9 @@
 	return counts
 }
 
+// mayUseHeld reports whether a task may use held capacity.
+func (r *Request) mayUseHeld() bool { return r.Step.LongRunning || r.UseHeld }
+
 // needsFullSearch reports whether a task has preferences that only few workers meet, so that all workers are compared.
 func (r *Request) needsFullSearch() bool {
 	return r.Step.LatencyCritical() || r.Step.Affinity != "" || r.Step.RackSensitive
--- a/placement/search.go
+++ b/placement/search.go
@@ -21,7 +21,8 @@
 
 // freeCapacity is the free capacity of a worker.
 type freeCapacity struct {
-	// cpu and memoryMB are available to long-running tasks, which may use withheld CPU, batchCPU and batchMemoryMB to others.
+	// cpu and memoryMB are available to tasks that may use held capacity, which may use withheld CPU as well, batchCPU and
+	// batchMemoryMB to others.
 	cpu, memoryMB           int
 	batchCPU, batchMemoryMB int
 	// unusedCPU is the CPU that best-effort tasks find unused: enough for any on a worker that runs none, and none on one whose
@@ -47,13 +48,13 @@
 // demand is the capacity that a worker needs to have for a request.
 type demand struct {
 	cpu, memoryMB, unusedCPU int
-	longRunning              bool
+	useHeld                  bool
 }
 
 func demandOf(request *Request) demand {
 	step := request.Step
 	reserved := step.Reserved()
-	d := demand{cpu: reserved.CPU, memoryMB: reserved.MemoryMB, unusedCPU: math.MinInt, longRunning: step.LongRunning}
+	d := demand{cpu: reserved.CPU, memoryMB: reserved.MemoryMB, unusedCPU: math.MinInt, useHeld: request.mayUseHeld()}
 	switch {
 	case !step.BestEffort:
 		d.cpu += request.Headroom
@@ -65,7 +66,7 @@
 
 // covers reports whether the free capacity may be enough for a demand.
 func (c *freeCapacity) covers(d *demand) bool {
-	if d.longRunning {
+	if d.useHeld {
 		return c.cpu >= d.cpu && c.memoryMB >= d.memoryMB && c.unusedCPU >= d.unusedCPU
 	}
 	return c.batchCPU >= d.cpu && c.batchMemoryMB >= d.memoryMB && c.unusedCPU >= d.unusedCPU
