Keep the record of a job that was set aside while it was read

Cause: since the ends of jobs that are set aside are recorded, an attempt that was lost replaced the record of a job whose progress had been read only in part, or not at all. The next term would start done tasks again. Evidence: TestRecordOfAJobSetAsideWhileReadingIsKept failed before (the record names no worker and ended attempts). Change: such a job says that its progress is not known, and has no record stored. Result: the tests of jobs that are set aside and of commits pass.

--- a/execution/commit.go
+++ b/execution/commit.go
@@ -94,9 +94,15 @@
 
 // recordable reports whether the progress record of a job may be stored. One that is not verified yet may have ended before
 // this term read it; stateCommitted queues it again. That of a removable job is about to be deleted. A job that is set aside is
-// neither verified nor removed by this term.
+// neither verified nor removed by this term; if its progress is not known, its record must not be replaced.
 func (j *job) recordable() bool {
-	return !j.removed && (j.aside || (j.verified && !j.removable()))
+	switch {
+	case j.removed:
+		return false
+	case j.aside:
+		return !j.unread
+	}
+	return j.verified && !j.removable()
 }
 
 // buildRecords builds a transaction from jobs whose progress has changed.
--- a/execution/model.go
+++ b/execution/model.go
@@ -223,8 +223,9 @@
 	slack    time.Duration
 	// runTimes holds the run times of the steps; nil before they are first needed.
 	runTimes []stepRunTimes
-	// removed is set once the rows of the job are deleted, aside once it is set aside.
-	removed, aside bool
+	// removed is set once the rows of the job are deleted, aside once it is set aside. unread is set if that was before its progress
+	// was known.
+	removed, aside, unread bool
 	// failedOn is the worker on which a task of the job failed first.
 	failedOn workers.ID
 }
--- a/execution/setaside.go
+++ b/execution/setaside.go
@@ -61,9 +61,8 @@
 	t.setAside[j.spec.ID] = nil
 	delete(t.jobs, j.spec.ID)
 	t.stopAll(j, "the job is set aside")
-	j.aside = true
-	if !t.loading {
-		// While the tables are read, the progress of the job is not known, and its record must not be replaced.
+	j.aside, j.unread = true, t.loading
+	if !j.unread {
 		t.setAside[j.spec.ID] = j
 		t.queueRecord(j)
 	}
--- a/execution/setaside_test.go
+++ b/execution/setaside_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// Guards against a progress record that is replaced by the part of it that was read before the job was set aside.
+func TestRecordOfAJobSetAsideWhileReadingIsKept(t *testing.T) {
+	r := newRig(t, memory.New())
+	w := r.addWorker("w", 32_000)
+	j := r.submit("a", oneStep(2, 100))
+	r.scheduleAndCommit()
+	before := string(r.table.Value(store.ProgressKey("a")))
+	r.loading = true
+	r.setJobAside(j, "test")
+	r.loading = false
+	for _, a := range w.attempts {
+		r.markLost(a, lostNotListed)
+	}
+	r.commitAll()
+	if after := string(r.table.Value(store.ProgressKey("a"))); after != before {
+		t.Errorf("record %q replaced by %q", before, after)
+	}
+}
+
 // Guards against a progress record that cannot be read and is replaced by one that lacks what it holds.
 func TestUnreadableRecordIsNotReplaced(t *testing.T) {
 	r := newRig(t, memory.New())
