--- a/execution/attempts.go
+++ b/execution/attempts.go
@@ -34,6 +34,7 @@
 		a.task.current = nil
 	}
 	if a.task.job.removable() {
+		// The state of the job may be stored already, so that no other commit would remove it.
 		t.queueState(a.task.job)
 	}
 	a.task.readyAt = t.opts.Clock()
