Wait until the server counts a connection as idle in its test

Cause: a caller reads its response before net/http reports the connection as idle. If the goroutine of the oldest connection is preempted there, a newer one is the only idle one when the third arrives, and closing it is right: the other still counts as being served. A handler on a scratch copy that returns 100 ms after its response fails the old test in the same way, with the same 10.01 s, which is the read deadline of the oldest connection.

Change: the test waits for the server's own report that each connection is idle.

--- a/bodylimit/handler_test.go
+++ b/bodylimit/handler_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,6 +19,12 @@
 
 // testServer echoes the length of bodies of up to 1000 bytes.
 func testServer(t *testing.T, limits Limits, maxConns int) string {
+	t.Helper()
+	return observedServer(t, limits, maxConns, nil)
+}
+
+// observedServer is a testServer that calls connState after it has noted the state of a connection.
+func observedServer(t *testing.T, limits Limits, maxConns int, connState func(net.Conn, http.ConnState)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +46,7 @@
 		}
 		_, _ = fmt.Fprint(w, len(content))
 	})
-	server := &http.Server{Handler: b.Handler(options, echo)}
+	server := &http.Server{Handler: b.Handler(options, echo), ConnState: connState}
 	limited := Limit(listener, server, "test", maxConns, m, zerolog.Nop())
 	go func() { _ = server.Serve(limited) }()
 	t.Cleanup(func() { _ = server.Close() })
@@ -152,17 +160,25 @@
 
 // Guards against idle connections that keep new callers out.
 func TestOldestIdleConnectionIsClosedForANewOne(t *testing.T) {
-	addr := testServer(t, testLimits(), 2)
+	idle := make(chan struct{}, 3)
+	addr := observedServer(t, testLimits(), 2, func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			idle <- struct{}{}
+		}
+	})
 	const get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 	oldest, _ := exchange(t, addr, get)
+	// A caller may have its response before the server counts the connection as idle.
+	<-idle
 	newer, _ := exchange(t, addr, get)
+	<-idle
 	exchange(t, addr, get)
-	if n, err := oldest.Read(make([]byte, 16)); err == nil && n == 0 {
+	if _, err := io.Copy(io.Discard, oldest); errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Error("the oldest idle connection stays open")
 	}
 	_ = newer.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-	if _, err := io.Copy(io.Discard, newer); err == nil {
-		t.Error("a newer idle connection was closed as well")
+	if _, err := io.Copy(io.Discard, newer); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a newer idle connection was closed as well: %v", err)
 	}
 }
 
