Close the connection that has been idle for longest, not the one read from first

What callers would see: a caller whose long request has just been answered loses its connection, while another one has been idle since before.

Cause: connections were ordered by when they were last read from, which for a request of some seconds is before the end of shorter ones.

Change: becoming idle counts as progress. The check for stalled senders is as before, since the next state needs a read.

Result: TestConnectionIdleForLongestIsClosed fails before and passes after; go test ./bodylimit passes.

--- a/bodylimit/handler_test.go
+++ b/bodylimit/handler_test.go
@@ -182,6 +182,35 @@
 	}
 }
 
+// Guards against a caller that loses its connection right after a long request, while another one has been idle since before.
+func TestConnectionIdleForLongestIsClosed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	server := &http.Server{}
+	l := Limit(nil, server, "test", 2, NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
+	l.now = func() time.Time { return now }
+	connect := func() *Conn {
+		inner, peer := net.Pipe()
+		t.Cleanup(func() { _ = peer.Close() })
+		c := &Conn{Conn: inner, listener: l}
+		c.noteProgress()
+		l.add(c)
+		server.ConnState(c, http.StateActive)
+		return c
+	}
+	longRequest := connect()
+	now = now.Add(time.Second)
+	shortRequest := connect()
+	server.ConnState(shortRequest, http.StateIdle)
+	now = now.Add(time.Second)
+	server.ConnState(longRequest, http.StateIdle)
+	if !l.closeIdle() {
+		t.Fatal("no connection was closed")
+	}
+	if _, open := l.conns[shortRequest]; open {
+		t.Error("the connection that has been idle for longest stays open")
+	}
+}
+
 // deadlineWriter is a response writer with a read deadline, which calls cleared when the deadline is removed.
 type deadlineWriter struct {
 	http.ResponseWriter
--- a/bodylimit/listener.go
+++ b/bodylimit/listener.go
@@ -42,6 +42,9 @@
 	before := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c := unwrap(conn); c != nil {
+			if state == http.StateIdle {
+				c.noteProgress()
+			}
 			c.idle.Store(state == http.StateIdle)
 			c.receiving.Store(state == http.StateNew || state == http.StateHijacked)
 		}
@@ -127,7 +130,7 @@
 	idle     atomic.Bool
 	// receiving is set while the process waits for a request, a body or a frame to arrive.
 	receiving atomic.Bool
-	// progress is when the connection was accepted or last read from, in ns since the Unix epoch.
+	// progress is when the connection was accepted, last read from or last became idle, in ns since the Unix epoch.
 	progress atomic.Int64
 	once     sync.Once
 }
