Check what is cheap first when a job may be starved

Cause, suspected: yieldsToKept read the wall clock for every placement request, also for jobs that are not deferred, and the callers asked it before the fields of the job.

Change: the standing and the fields of the job come before the clock. The conditions are the same.

--- a/execution/backlog.go
+++ b/execution/backlog.go
@@ -262,8 +262,10 @@
 // yieldsToKept reports whether a job gets no exceptions for starved jobs, because it would take capacity from jobs of its queue
 // that are to end in time. Without any of these it would wait for ever, since the queue then stays saturated.
 func (t *Term) yieldsToKept(j *job) bool {
-	age := t.opts.Now().Sub(time.UnixMilli(j.spec.Submitted))
-	return j.standing >= standingDeferred && age < maxYieldTime && t.backlogOf(j.spec.Queue).counts[standingKept] > 0
+	if j.standing < standingDeferred || t.backlogOf(j.spec.Queue).counts[standingKept] == 0 {
+		return false
+	}
+	return t.opts.Now().Sub(time.UnixMilli(j.spec.Submitted)) < maxYieldTime
 }
 
 // maxForecastDelay is the age from which on a forecast is not published. Scheduling may take long on a leader that is short of
--- a/execution/headroom.go
+++ b/execution/headroom.go
@@ -159,8 +159,8 @@
 // tasks. Headroom for work that may come and a worker near the data are preferences, which must not keep a task for ever
 // from the capacity that is there. It applies to one task of a job at a time.
 func (t *Term) starved(task *task, now time.Duration) bool {
-	return !t.yieldsToKept(task.job) && task.job.liveAttempts == 0 && now-task.readyAt > maxHeadroomWait &&
-		t.mostlyUnreserved(task.job) && t.canPlaceTwo(task.step)
+	return task.job.liveAttempts == 0 && now-task.readyAt > maxHeadroomWait &&
+		!t.yieldsToKept(task.job) && t.mostlyUnreserved(task.job) && t.canPlaceTwo(task.step)
 }
 
 // mostlyUnreserved reports whether less than idleReservedShare of the CPU capacity of a job's service is reserved.
@@ -180,8 +180,8 @@
 // bestEffortStarved reports whether a best-effort task is to be started even on a worker without unused CPU and despite
 // possible interference.
 func (t *Term) bestEffortStarved(j *job, task *task) bool {
-	if !task.step.BestEffort || t.yieldsToKept(j) || j.liveAttempts > 0 || t.scheduledAt-task.readyAt < bestEffortStarvedAfter {
+	if !task.step.BestEffort || j.liveAttempts > 0 || t.scheduledAt-task.readyAt < bestEffortStarvedAfter {
 		return false
 	}
-	return t.mostlyUnreserved(j)
+	return !t.yieldsToKept(j) && t.mostlyUnreserved(j)
 }
