Look up advice only for workers that a step may use

Change: advice is read after these conditions, once as before. The order of the reasons is the same.

Result: go test ./placement passes (TestFullFleetIsExaminedOncePerStep bounds the reads).

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -92,7 +92,7 @@
 
 // check returns the reason for which a task cannot be placed on a worker; ReasonNone means that it can.
 func check(node *Node, request *Request) Reason {
-	step, reserved, advice := request.Step, request.Step.Reserved(), request.adviceOn(node)
+	step, reserved := request.Step, request.Step.Reserved()
 	switch {
 	case !node.Usable || node.Registration.Service != request.Service:
 		return ReasonNoWorker
@@ -101,6 +101,9 @@
 		return ReasonDegraded
 	case step.Requires != "" && !node.Registration.HasLabel(step.Requires):
 		return ReasonNoLabel
+	}
+	advice := request.adviceOn(node)
+	switch {
 	case advice == AdviceRefused:
 		return ReasonNotAllowed
 	case request.LocalOnly && !node.Registration.HasLabel(step.Affinity):
