Read no clock for the advice of a placement request, and give its functions distinct names

Cause: each placement request of a queue with advice read the clock, which is a system call, and each task that wants advice was compared with all steps that want it.

Change: advice is judged by the start of the scheduling cycle, like the rest of the request; a step notes that it is in the list.

--- a/execution/advice.go
+++ b/execution/advice.go
@@ -38,6 +38,8 @@
 	nextRequest time.Duration
 	// wantedAt is when advice was last wanted, waitsSince since when the step waits for its turn to request it.
 	wantedAt, waitsSince time.Duration
+	// wanted is set while a task of the step is in Term.adviceWanted.
+	wanted bool
 }
 
 // ticket is the permission of the advice service to start a step on one incarnation of a worker.
@@ -53,8 +55,8 @@
 	return t.text, ok && t.startTime == w.startTime && now < t.expiresAt-ticketExpiryMargin
 }
 
-// on returns what is known of whether the current incarnation of a worker may run the step.
-func (a *stepAdvice) on(w *worker, now time.Duration) placement.Advice {
+// stateOf returns what is known of whether the current incarnation of a worker may run the step.
+func (a *stepAdvice) stateOf(w *worker, now time.Duration) placement.Advice {
 	if _, ok := a.ticketFor(w, now); ok {
 		return placement.AdviceGranted
 	}
@@ -64,8 +66,8 @@
 	return placement.AdviceUnknown
 }
 
-// adviceFor returns the advice on the workers for a step.
-func (o *occurrence) adviceFor(step int) *stepAdvice {
+// adviceForStep returns the advice received for a step.
+func (o *occurrence) adviceForStep(step int) *stepAdvice {
 	a := o.advice[step]
 	if a == nil {
 		a = &stepAdvice{tickets: make(map[workers.ID]ticket), refused: make(map[workers.ID]int64)}
@@ -77,18 +79,19 @@
 	return a
 }
 
-// adviceOn returns what is known of whether each worker may run a step; nil for a queue without advice, which allows all workers.
-func (t *Term) adviceOn(j *job, o *occurrence, step int) func(workers.ID) placement.Advice {
+// adviceLookup returns a function that tells what is known of whether a worker may run a step; nil for a queue without advice, which
+// allows all workers.
+func (t *Term) adviceLookup(j *job, o *occurrence, step int) func(workers.ID) placement.Advice {
 	if j.queue.Advice == nil {
 		return nil
 	}
-	a, now := o.adviceFor(step), t.opts.Clock()
+	a, now := o.adviceForStep(step), t.scheduledAt
 	return func(id workers.ID) placement.Advice {
 		w := t.workers[id]
 		if w == nil {
 			return placement.AdviceUnknown
 		}
-		return a.on(w, now)
+		return a.stateOf(w, now)
 	}
 }
 
@@ -98,14 +101,14 @@
 	if task.job.queue.Advice == nil {
 		return true
 	}
-	overdue := t.adviceInFlight && t.opts.Clock()-t.adviceSentAt > maxAdviceSilence
+	overdue := t.adviceInFlight && t.scheduledAt-t.adviceSentAt > maxAdviceSilence
 	return !t.adviceFailed && !overdue
 }
 
 // adviceRefuses reports whether a task may not run on a worker.
 func (t *Term) adviceRefuses(task *task, node *placement.Node) bool {
 	a, w := task.occurrence().advice[task.id.Step], t.nodes.workers[node]
-	return a != nil && w != nil && a.on(w, t.opts.Clock()) == placement.AdviceRefused
+	return a != nil && w != nil && a.stateOf(w, t.scheduledAt) == placement.AdviceRefused
 }
 
 // wantAdvice notes that a task cannot be placed without further advice.
@@ -113,10 +116,11 @@
 	if unplaced.job.queue.Advice == nil {
 		return
 	}
-	a, now := unplaced.advice(), t.opts.Clock()
-	if slices.ContainsFunc(t.adviceWanted, func(other *task) bool { return other.advice() == a }) {
+	a, now := unplaced.stepAdvice(), t.scheduledAt
+	if a.wanted {
 		return
 	}
+	a.wanted = true
 	if now-a.wantedAt > adviceTurnMemory {
 		a.waitsSince = now
 	}
@@ -124,20 +128,23 @@
 	t.adviceWanted = append(t.adviceWanted, unplaced)
 }
 
-// advice returns the advice for the step of a task.
-func (t *task) advice() *stepAdvice { return t.occurrence().adviceFor(t.id.Step) }
+// stepAdvice returns the advice received for the step of a task.
+func (t *task) stepAdvice() *stepAdvice { return t.occurrence().adviceForStep(t.id.Step) }
 
 // requestAdvice sends a request for the step whose turn it is among those that want advice, unless one is in flight: the service
 // handles requests from one machine sequentially.
 func (t *Term) requestAdvice(now time.Duration) {
 	wanted := t.adviceWanted
 	t.adviceWanted = nil
+	for _, task := range wanted {
+		task.stepAdvice().wanted = false
+	}
 	if t.adviceInFlight || t.opts.Advisor == nil {
 		return
 	}
 	sortByTurn(wanted, now)
 	for _, task := range wanted {
-		a := task.advice()
+		a := task.stepAdvice()
 		if task.ended() || task.job.queue.Advice == nil || now < a.nextRequest {
 			continue
 		}
@@ -153,7 +160,7 @@
 // maxAdviceTurnWait come first, or requests for steps that rank higher could keep them waiting for ever.
 func sortByTurn(wanted []*task, now time.Duration) {
 	slices.SortStableFunc(wanted, func(a, b *task) int {
-		return cmp.Compare(min(a.advice().waitsSince, now-maxAdviceTurnWait), min(b.advice().waitsSince, now-maxAdviceTurnWait))
+		return cmp.Compare(min(a.stepAdvice().waitsSince, now-maxAdviceTurnWait), min(b.stepAdvice().waitsSince, now-maxAdviceTurnWait))
 	})
 }
 
@@ -187,7 +194,7 @@
 	case task.current != nil:
 		return t.moveRequest(task)
 	case task.step.Gang:
-		return t.groupRequest(task, t.adviceOn(task.job, o, task.id.Step))
+		return t.groupRequest(task, t.adviceLookup(task.job, o, task.id.Step))
 	}
 	return t.request(task.job, task, o.steps[task.id.Step])
 }
@@ -220,7 +227,7 @@
 
 // sendAdviceRequest requests advice on workers for the step of a task.
 func (t *Term) sendAdviceRequest(task *task, candidates []*worker, now time.Duration) {
-	a := task.advice()
+	a := task.stepAdvice()
 	a.forgetMissing(t.workers)
 	ids, startTimes := make([]workers.ID, 0, len(candidates)), make(map[workers.ID]int64, len(candidates))
 	for _, w := range candidates {
--- a/execution/placegang.go
+++ b/execution/placegang.go
@@ -14,7 +14,7 @@
 		}
 	}
 	defer t.near.noteBacklog(tasks)
-	advice := t.adviceOn(j, o, number)
+	advice := t.adviceLookup(j, o, number)
 	near := t.newNearSearch(j, o, number)
 	if t.groupWaits(near, tasks, advice) {
 		t.wantAdvice(tasks[0])
--- a/execution/schedule.go
+++ b/execution/schedule.go
@@ -143,7 +143,7 @@
 		}
 		if search == nil {
 			search = t.nodeIndex.NewSearch()
-			if t.groupWaits(near, tasks, t.adviceOn(j, o, number)) {
+			if t.groupWaits(near, tasks, t.adviceLookup(j, o, number)) {
 				t.wantAdvice(task)
 				return
 			}
@@ -222,7 +222,7 @@
 func (t *Term) request(j *job, task *task, siblings []*task) placement.Request {
 	request := placement.Request{
 		Step: task.step, Service: j.queue.Service, Avoid: task.avoidWorker, Interference: t.interference,
-		Advice:   t.adviceOn(j, task.occurrence(), task.id.Step),
+		Advice:   t.adviceLookup(j, task.occurrence(), task.id.Step),
 		Headroom: t.headroom(task, t.scheduledAt), Offset: t.nextOffset(),
 	}
 	if task.step.LongRunning {
