End a planned stop without an error once no request is in progress

Cause: http.Server.Shutdown checks for open connections at intervals that grow to 500 ms, so that it notices nothing between 255 ms and the end of the 500 ms that the last responses have. It also waits for connections without a request.

Change: Listener.Shutdown waits for requests in progress only, checks every 10 ms, and names those it cuts off. The soak no longer only logs a planned stop that ends with another status than 0: it fails.

--- a/bodylimit/listener.go
+++ b/bodylimit/listener.go
@@ -45,7 +45,7 @@
 			if state == http.StateIdle {
 				c.noteProgress()
 			}
-			c.idle.Store(state == http.StateIdle)
+			c.state.Store(int32(state))
 			c.receiving.Store(state == http.StateNew || state == http.StateHijacked)
 		}
 		if before != nil {
@@ -127,7 +127,8 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	idle     atomic.Bool
+	// state is the http.ConnState that the server reported last.
+	state atomic.Int32
 	// receiving is set while the process waits for a request, a body or a frame to arrive.
 	receiving atomic.Bool
 	// progress is when the connection was accepted, last read from or last became idle, in ns since the Unix epoch.
@@ -137,10 +138,13 @@
 
 func (c *Conn) noteProgress() { c.progress.Store(c.listener.now().UnixNano()) }
 
+// is reports whether the server reported a state last.
+func (c *Conn) is(state http.ConnState) bool { return http.ConnState(c.state.Load()) == state }
+
 // mayClose reports whether no request is being handled on the connection, and none is arriving at a proper pace.
 func (c *Conn) mayClose(now time.Time) bool {
 	stalled := now.UnixNano()-c.progress.Load() >= pressureStallTimeout.Nanoseconds()
-	return c.idle.Load() || c.receiving.Load() && stalled
+	return c.is(http.StateIdle) || c.receiving.Load() && stalled
 }
 
 // Read implements net.Conn.
--- /dev/null
+++ b/bodylimit/stop_test.go
@@ -0,0 +1,89 @@
+package bodylimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// stopTimeout is how long the servers of these tests may take to stop.
+const stopTimeout = 500 * time.Millisecond
+
+// stoppingServer serves requests that each take until release is closed.
+func stoppingServer(t *testing.T) (addr string, started <-chan struct{}, release chan struct{}, stop func() error) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-release
+	})}
+	listener := Limit(inner, server, "test", 10, NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return inner.Addr().String(), entered, release, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		return listener.Shutdown(ctx, server)
+	}
+}
+
+// Guards against a planned stop that fails because a caller has connected and sent nothing.
+func TestShutdownDoesNotWaitForUnusedConnections(t *testing.T) {
+	addr, _, _, stop := stoppingServer(t)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a planned stop that fails although the last request has been answered: net/http checks 255 ms after the begin of
+// the stop, and next after 511 ms.
+func TestShutdownNoticesTheEndOfTheLastRequest(t *testing.T) {
+	addr, started, release, stop := stoppingServer(t)
+	answered := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + addr)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-started
+	time.AfterFunc(stopTimeout*7/10, func() { close(release) })
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+	if err := <-answered; err != nil {
+		t.Errorf("the request was not answered: %v", err)
+	}
+}
+
+// Guards against a planned stop that reports success although it cut off a request.
+func TestShutdownReportsRequestsThatItCutsOff(t *testing.T) {
+	addr, started, release, stop := stoppingServer(t)
+	defer close(release)
+	go func() {
+		if response, err := http.Get("http://" + addr); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	<-started
+	var unfinished *UnfinishedError
+	if err := stop(); !errors.As(err, &unfinished) || unfinished.Requests != 1 {
+		t.Errorf("stop returned %v", err)
+	}
+}
--- a/entry/bounds.go
+++ b/entry/bounds.go
@@ -45,7 +45,7 @@
 }
 
 // listener bounds the connections of a listener.
-func (b *bounds) listener(inner net.Listener, server *http.Server, name string) net.Listener {
+func (b *bounds) listener(inner net.Listener, server *http.Server, name string) *bodylimit.Listener {
 	return bodylimit.Limit(inner, server, name, bodylimit.Share(b.connections, connectionShares[name]), b.metrics, b.logger)
 }
 
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -17,7 +17,9 @@
 	addr    string
 	handler http.Handler
 	bounds  *bounds
-	server  *http.Server
+
+	server   *http.Server
+	listener *bodylimit.Listener
 }
 
 // Limits of callers' connections.
@@ -48,14 +50,14 @@
 	s.server = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	limited := s.bounds.listener(listener, s.server, s.name)
-	go func() { _ = s.server.Serve(limited) }()
+	s.listener = s.bounds.listener(listener, s.server, s.name)
+	go func() { _ = s.server.Serve(s.listener) }()
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *callerServer) Stop(ctx context.Context) error {
-	return errors.Wrap(s.server.Shutdown(ctx), "stopping the server for "+s.name)
+	return errors.Wrap(s.listener.Shutdown(ctx, s.server), "stopping the server for "+s.name)
 }
 
 // opsServer serves readiness probes or metrics. Its stop does not wait for requests in flight.
--- a/soak/instance_test.go
+++ b/soak/instance_test.go
@@ -26,6 +26,8 @@
 	log          *os.File
 	// clockOffsetFile holds the offset of the instance's wall-clock time.
 	clockOffsetFile string
+	// noCutoffs is enabled while a planned stop has to end with status 0.
+	noCutoffs *noCutoffs
 
 	// restarting serialises restarts: a process that is started while another one has its addresses fails, and the soak would
 	// lose track of the other one.
@@ -56,6 +58,8 @@
 		switch err := command.Wait(); {
 		case !stopping.Load():
 			t.Errorf("process of %s has exited by itself: %v", i.name, err)
+		case command.ProcessState.ExitCode() > 0 && i.noCutoffs.enabled.Load():
+			t.Errorf("process of %s has not stopped cleanly in the planned phase: %v", i.name, err)
 		case command.ProcessState.ExitCode() > 0:
 			t.Logf("process of %s has not stopped cleanly: %v", i.name, err)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -200,7 +200,7 @@
 		}
 		i := &instance{name: fmt.Sprintf("n%d", n), binary: binary, callerAddr: loopback.Addr(), readyAddr: loopback.Addr(), peerAddr: loopback.Addr(), storeProxy: p, log: log,
 			machinesAddr:    strings.TrimPrefix(maintenance.URL, "http://"),
-			clockOffsetFile: filepath.Join(logs, fmt.Sprintf("n%d.offset", n))}
+			clockOffsetFile: filepath.Join(logs, fmt.Sprintf("n%d.offset", n)), noCutoffs: &s.noCutoffs}
 		i.start(t)
 		t.Cleanup(func() { i.signal(syscall.SIGCONT); i.signal(syscall.SIGKILL) })
 		s.instances = append(s.instances, i)
