Rename the ended context of Listener.Shutdown

Cause: its name, begun, said nothing of why the call returns at once. Change: the name and the comment, no behaviour. Result: the tests of Shutdown pass.

--- a/bodylimit/stop.go
+++ b/bodylimit/stop.go
@@ -30,10 +30,10 @@
 // http.Server.Shutdown, it does not wait for connections without a request, and it checks at a constant interval: that of net/http
 // grows to 500 ms, which is longer than a stop may take.
 func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
-	begun, cancel := context.WithCancel(ctx)
+	ended, cancel := context.WithCancel(ctx)
 	cancel()
-	// With a context that has ended, this only begins the shutdown: it closes listeners and idle connections.
-	_ = server.Shutdown(begun)
+	// With a context that has ended, this only closes listeners and idle connections.
+	_ = server.Shutdown(ended)
 	ticker := time.NewTicker(requestPollInterval)
 	defer ticker.Stop()
 	var err error
