Serve a request that arrives on a new connection while the server stops

What callers would see: a connection that is accepted just before a planned stop is closed without an answer when its first request arrives.

Cause: once http.Server.Shutdown has begun, net/http closes a connection instead of handling the request that it has read. Besides, Listener.Shutdown closed new connections at once.

Change: Listener.Shutdown closes the listener and turns keep-alives off, and calls nothing else of net/http until no request is in progress and no connection without a first request is younger than 100 ms.

--- a/bodylimit/listener.go
+++ b/bodylimit/listener.go
@@ -138,13 +138,13 @@
 
 func (c *Conn) noteProgress() { c.progress.Store(c.listener.now().UnixNano()) }
 
-// is reports whether the server reported a state last.
-func (c *Conn) is(state http.ConnState) bool { return http.ConnState(c.state.Load()) == state }
+// lastState returns the state that the server reported last; a connection is new until then.
+func (c *Conn) lastState() http.ConnState { return http.ConnState(c.state.Load()) }
 
 // mayClose reports whether no request is being handled on the connection, and none is arriving at a proper pace.
 func (c *Conn) mayClose(now time.Time) bool {
 	stalled := now.UnixNano()-c.progress.Load() >= pressureStallTimeout.Nanoseconds()
-	return c.is(http.StateIdle) || c.receiving.Load() && stalled
+	return c.lastState() == http.StateIdle || c.receiving.Load() && stalled
 }
 
 // Read implements net.Conn.
--- a/bodylimit/stop.go
+++ b/bodylimit/stop.go
@@ -12,8 +12,12 @@
 	"bronzehook/fault"
 )
 
-// requestPollInterval is the time between two checks for requests in progress while a server stops.
-const requestPollInterval = 10 * time.Millisecond
+const (
+	// requestPollInterval is the time between two checks for requests in progress while a server stops.
+	requestPollInterval = 10 * time.Millisecond
+	// arrivalTime is how long the first request on a new connection may take to arrive while a server stops.
+	arrivalTime = 100 * time.Millisecond
+)
 
 // UnfinishedError reports requests that were still in progress when their server had to stop.
 type UnfinishedError struct{ Requests int }
@@ -26,38 +30,45 @@
 // Code implements fault.Coded.
 func (*UnfinishedError) Code() fault.Code { return fault.CodeTimeout }
 
-// Shutdown stops the server of the listener: it accepts no more requests and waits for those in progress, until ctx ends. Unlike
-// http.Server.Shutdown, it does not wait for connections without a request, and it checks at a constant interval: that of net/http
-// grows to 500 ms, which is longer than a stop may take.
+// Shutdown stops the server of the listener: it accepts no more connections and waits for requests that are in progress or may be
+// arriving on a new connection, until ctx ends. Unlike http.Server.Shutdown, it does not wait for 5 s on connections without a
+// request, and it checks at a constant interval: that of net/http grows to 500 ms, which is longer than a stop may take.
 func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
-	ended, cancel := context.WithCancel(ctx)
-	cancel()
-	// With a context that has ended, this only closes listeners and idle connections.
-	_ = server.Shutdown(ended)
+	err := l.Close()
+	// Closes idle connections as well. http.Server.Shutdown would drop requests that arrive from here on.
+	server.SetKeepAlivesEnabled(false)
 	ticker := time.NewTicker(requestPollInterval)
 	defer ticker.Stop()
-	var err error
-	for requests := l.requests(); requests > 0 && err == nil; requests = l.requests() {
+	for ctx.Err() == nil && l.pending() > 0 {
 		select {
 		case <-ctx.Done():
-			err = errors.WithStack(&UnfinishedError{Requests: requests})
 		case <-ticker.C:
 		}
 	}
+	if requests := l.pending(); requests > 0 {
+		err = errors.CombineErrors(err, errors.WithStack(&UnfinishedError{Requests: requests}))
+	}
 	if closeErr := server.Close(); !errors.Is(closeErr, net.ErrClosed) {
 		err = errors.CombineErrors(err, closeErr)
 	}
 	return err
 }
 
-// requests returns the number of connections on which a request is in progress.
-func (l *Listener) requests() int {
+// pending returns the number of connections on which a request is in progress, or which are so new that their first request may
+// be arriving.
+func (l *Listener) pending() int {
+	now := l.now().UnixNano()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := 0
 	for c := range l.conns {
-		if c.is(http.StateActive) {
+		switch c.lastState() {
+		case http.StateActive:
 			count++
+		case http.StateNew:
+			if now-c.progress.Load() < arrivalTime.Nanoseconds() {
+				count++
+			}
 		}
 	}
 	return count
--- a/bodylimit/stop_test.go
+++ b/bodylimit/stop_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 const stopTimeout = 500 * time.Millisecond
 
 // stoppingServer serves requests that each take until release is closed.
-func stoppingServer(t *testing.T) (addr string, started <-chan struct{}, release chan struct{}, stop func() error) {
+func stoppingServer(t *testing.T, now func() time.Time) (addr string, started <-chan struct{}, release chan struct{}, stop func() error) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,6 +30,7 @@
 		<-release
 	})}
 	listener := Limit(inner, server, "test", 10, NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
+	listener.now = now
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return inner.Addr().String(), entered, release, func() error {
@@ -39,7 +42,7 @@
 
 // Guards against a planned stop that fails because a caller has connected and sent nothing.
 func TestShutdownDoesNotWaitForUnusedConnections(t *testing.T) {
-	addr, _, _, stop := stoppingServer(t)
+	addr, _, _, stop := stoppingServer(t, time.Now)
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -50,10 +53,43 @@
 	}
 }
 
+// Guards against a planned stop that cuts off a request because it arrives just after its connection.
+func TestShutdownWaitsForTheRequestOfANewConnection(t *testing.T) {
+	accepted := time.Now()
+	addr, started, release, stop := stoppingServer(t, func() time.Time { return accepted })
+	close(release)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The server has accepted the connection once it has answered on one that was opened later.
+	response, err := http.Get("http://" + addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	<-started
+	sent := make(chan error, 1)
+	time.AfterFunc(stopTimeout/10, func() {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		sent <- err
+	})
+	if err := stop(); err != nil {
+		t.Error(err)
+	}
+	if err := <-sent; err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("the request got %q, %v", answer, err)
+	}
+}
+
 // Guards against a planned stop that fails although the last request has been answered: net/http checks 255 ms after the begin of
 // the stop, and next after 511 ms.
 func TestShutdownNoticesTheEndOfTheLastRequest(t *testing.T) {
-	addr, started, release, stop := stoppingServer(t)
+	addr, started, release, stop := stoppingServer(t, time.Now)
 	answered := make(chan error, 1)
 	go func() {
 		response, err := http.Get("http://" + addr)
@@ -74,7 +110,7 @@
 
 // Guards against a planned stop that reports success although it cut off a request.
 func TestShutdownReportsRequestsThatItCutsOff(t *testing.T) {
-	addr, started, release, stop := stoppingServer(t)
+	addr, started, release, stop := stoppingServer(t, time.Now)
 	defer close(release)
 	go func() {
 		if response, err := http.Get("http://" + addr); err == nil {
