Use one wait for servers that stop

Cause: Listener.Shutdown had a polling loop of its own, with the interval of that in the standalone instance's httpService. It was also given the server that Limit had got already, and its tests set up a server and sent requests in the same way several times.

Change: bodylimit.AwaitNone serves both; a Listener keeps its server; the tests share serveLimited, get and getRequest. No change of behaviour; the tests keep their assertions.

--- a/bodylimit/handler_test.go
+++ b/bodylimit/handler_test.go
@@ -26,10 +26,6 @@
 // observedServer is a testServer that calls connState after it has noted the state of a connection.
 func observedServer(t *testing.T, limits Limits, maxConns int, connState func(net.Conn, http.ConnState)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	m := NewMetrics(prometheus.NewRegistry())
 	b := NewBudget("test", limits, m, zerolog.Nop())
 	options := func(r *http.Request) Options {
@@ -47,12 +43,26 @@
 		_, _ = fmt.Fprint(w, len(content))
 	})
 	server := &http.Server{Handler: b.Handler(options, echo), ConnState: connState}
-	limited := Limit(listener, server, "test", maxConns, m, zerolog.Nop())
-	go func() { _ = server.Serve(limited) }()
+	return serveLimited(t, server, maxConns, m, time.Now).Addr().String()
+}
+
+// serveLimited serves on a listener that accepts up to maxConns connections at a time.
+func serveLimited(t *testing.T, server *http.Server, maxConns int, m *Metrics, now func() time.Time) *Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := Limit(inner, server, "test", maxConns, m, zerolog.Nop())
+	listener.now = now
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
+	return listener
 }
 
+// getRequest is a request without a body.
+const getRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
 func testLimits() Limits {
 	return Limits{Total: 1 << 20, SmallBytes: smallBytes, StallTimeout: 300 * time.Millisecond, ClaimWait: claimWait}
 }
@@ -166,13 +176,12 @@
 			idle <- struct{}{}
 		}
 	})
-	const get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-	oldest, _ := exchange(t, addr, get)
+	oldest, _ := exchange(t, addr, getRequest)
 	// A caller may have its response before the server counts the connection as idle.
 	<-idle
-	newer, _ := exchange(t, addr, get)
+	newer, _ := exchange(t, addr, getRequest)
 	<-idle
-	exchange(t, addr, get)
+	exchange(t, addr, getRequest)
 	if _, err := io.Copy(io.Discard, oldest); errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Error("the oldest idle connection stays open")
 	}
--- a/bodylimit/listener.go
+++ b/bodylimit/listener.go
@@ -19,6 +19,8 @@
 // longest; if there is none, new ones wait in the queue of the operating system.
 type Listener struct {
 	net.Listener
+	// server serves the connections.
+	server *http.Server
 	max    int
 	now    func() time.Time
 	open   prometheus.Gauge
@@ -34,7 +36,7 @@
 // Limit returns a listener that accepts up to maxConns connections of inner at a time, and makes server report their state.
 func Limit(inner net.Listener, server *http.Server, name string, maxConns int, m *Metrics, logger zerolog.Logger) *Listener {
 	l := &Listener{
-		Listener: inner, max: maxConns, now: time.Now, stop: make(chan struct{}), conns: make(map[*Conn]struct{}),
+		Listener: inner, server: server, max: maxConns, now: time.Now, stop: make(chan struct{}), conns: make(map[*Conn]struct{}),
 		open: m.connections.WithLabelValues(name), closed: m.closed.WithLabelValues(name),
 		logger: logger.With().Str("listener", name).Logger().Sample(&zerolog.BurstSampler{Burst: 1, Period: time.Second}),
 	}
--- a/bodylimit/stop_test.go
+++ b/bodylimit/stop_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 )
 
 // stopTimeout is how long the servers of these tests may take to stop.
@@ -20,24 +19,26 @@
 // stoppingServer serves requests that each take until release is closed.
 func stoppingServer(t *testing.T, now func() time.Time) (addr string, started <-chan struct{}, release chan struct{}, stop func() error) {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	entered, release := make(chan struct{}, 1), make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		entered <- struct{}{}
 		<-release
 	})}
-	listener := Limit(inner, server, "test", 10, NewMetrics(prometheus.NewRegistry()), zerolog.Nop())
-	listener.now = now
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return inner.Addr().String(), entered, release, func() error {
+	listener := serveLimited(t, server, 10, NewMetrics(prometheus.NewRegistry()), now)
+	return listener.Addr().String(), entered, release, func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
-		return listener.Shutdown(ctx, server)
+		return listener.Shutdown(ctx)
+	}
+}
+
+// get sends a request to a server and returns an error if there is no response.
+func get(addr string) error {
+	response, err := http.Get("http://" + addr)
+	if err != nil {
+		return err
 	}
+	return response.Body.Close()
 }
 
 // Guards against a planned stop that fails because a caller has connected and sent nothing.
@@ -64,15 +65,13 @@
 	}
 	defer conn.Close()
 	// The server has accepted the connection once it has answered on one that was opened later.
-	response, err := http.Get("http://" + addr)
-	if err != nil {
+	if err := get(addr); err != nil {
 		t.Fatal(err)
 	}
-	_ = response.Body.Close()
 	<-started
 	sent := make(chan error, 1)
 	time.AfterFunc(stopTimeout/10, func() {
-		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, err := io.WriteString(conn, getRequest)
 		sent <- err
 	})
 	if err := stop(); err != nil {
@@ -91,13 +90,7 @@
 func TestShutdownNoticesTheEndOfTheLastRequest(t *testing.T) {
 	addr, started, release, stop := stoppingServer(t, time.Now)
 	answered := make(chan error, 1)
-	go func() {
-		response, err := http.Get("http://" + addr)
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		answered <- err
-	}()
+	go func() { answered <- get(addr) }()
 	<-started
 	time.AfterFunc(stopTimeout*7/10, func() { close(release) })
 	if err := stop(); err != nil {
@@ -112,11 +105,7 @@
 func TestShutdownReportsRequestsThatItCutsOff(t *testing.T) {
 	addr, started, release, stop := stoppingServer(t, time.Now)
 	defer close(release)
-	go func() {
-		if response, err := http.Get("http://" + addr); err == nil {
-			_ = response.Body.Close()
-		}
-	}()
+	go func() { _ = get(addr) }()
 	<-started
 	var unfinished *UnfinishedError
 	if err := stop(); !errors.As(err, &unfinished) || unfinished.Requests != 1 {
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -17,8 +17,7 @@
 	addr    string
 	handler http.Handler
 	bounds  *bounds
-
-	server   *http.Server
+	// listener is that of the running server.
 	listener *bodylimit.Listener
 }
 
@@ -47,17 +46,17 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening for %s", s.name)
 	}
-	s.server = &http.Server{
+	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	s.listener = s.bounds.listener(listener, s.server, s.name)
-	go func() { _ = s.server.Serve(s.listener) }()
+	s.listener = s.bounds.listener(listener, server, s.name)
+	go func() { _ = server.Serve(s.listener) }()
 	return nil
 }
 
 // Stop implements kernel.Service.
 func (s *callerServer) Stop(ctx context.Context) error {
-	return errors.Wrap(s.listener.Shutdown(ctx, s.server), "stopping the server for "+s.name)
+	return errors.Wrap(s.listener.Shutdown(ctx), "stopping the server for "+s.name)
 }
 
 // opsServer serves readiness probes or metrics. Its stop does not wait for requests in flight.
--- a/instance/httpservice.go
+++ b/instance/httpservice.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bronzehook/bodylimit"
 )
 
 // httpService runs an HTTP server as a kernel.Service.
@@ -28,14 +30,10 @@
 	openConnections atomic.Int64
 }
 
-const (
-	// connectionCloseTimeout bounds the wait for callers to close their connections. While an instance stops, each
-	// connection is closed after its next response; closing an idle one may cut off a request that its caller is
-	// sending.
-	connectionCloseTimeout = 2 * time.Second
-	// connectionPollInterval is the time between two checks for open connections.
-	connectionPollInterval = 10 * time.Millisecond
-)
+// connectionCloseTimeout bounds the wait for callers to close their connections. While an instance stops, each
+// connection is closed after its next response; closing an idle one may cut off a request that its caller is
+// sending.
+const connectionCloseTimeout = 2 * time.Second
 
 // Name implements kernel.Service.
 func (s *httpService) Name() string { return s.name }
@@ -72,15 +70,7 @@
 func (s *httpService) awaitConnectionsClosed(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, connectionCloseTimeout)
 	defer cancel()
-	ticker := time.NewTicker(connectionPollInterval)
-	defer ticker.Stop()
-	for s.openConnections.Load() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	bodylimit.AwaitNone(ctx, func() int { return int(s.openConnections.Load()) })
 }
 
 // Stop finishes requests in flight. Shutdown comes last, because once it has begun, net/http drops requests that it
