List the running tasks of the soak in one place

Cause: fleetIsBusy and checkLongRunning walked the workers and their tasks in the same way, and fleetIsBusy stood among the callers. Change: both use scenario.runningTasks. The checks are the same.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -215,23 +215,6 @@
 	}
 }
 
-// fleetIsBusy reports whether batch tasks use at least half of the CPU that long-running tasks leave. A scheduler has to start
-// what waits only if less than half is in use.
-func (s *scenario) fleetIsBusy() bool {
-	batch, left := 0, 0
-	for _, w := range s.fleet.Workers() {
-		left += s.fleet.CPU
-		for _, task := range w.RunningTasks() {
-			if isLongRunning(jobOf(task)) {
-				left -= cpuOf(task)
-			} else {
-				batch += cpuOf(task)
-			}
-		}
-	}
-	return 2*batch >= left
-}
-
 const (
 	tasksPerBatchJob       = 5
 	tasksPerLongRunningJob = 2
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -37,21 +37,19 @@
 // checkLongRunning fails the test unless all tasks of each running long-running job run, and no task of a cancelled job runs
 // or was started later than cancelLimit after both the cancellation and loadStopped.
 func (s *scenario) checkLongRunning(loadStopped time.Time) {
-	runningTasks := make(map[string]int)
-	for _, w := range s.fleet.Workers() {
-		for _, task := range w.RunningTasks() {
-			runningTasks[jobOf(task)]++
-		}
+	running := make(map[string]int)
+	for _, task := range s.runningTasks() {
+		running[jobOf(task)]++
 	}
 	s.callers.mu.Lock()
 	defer s.callers.mu.Unlock()
 	for _, id := range s.callers.accepted {
 		state := s.callers.state[id]
 		switch {
-		case state == "cancelled" && runningTasks[id] > 0:
-			s.t.Errorf("unasked: %d tasks of cancelled job %s run %v after the load stopped", runningTasks[id], id, time.Since(loadStopped))
-		case isLongRunning(id) && state == "running" && runningTasks[id] != tasksPerLongRunningJob:
-			s.t.Errorf("lost: %d of %d long-running tasks of %s run", runningTasks[id], tasksPerLongRunningJob, id)
+		case state == "cancelled" && running[id] > 0:
+			s.t.Errorf("unasked: %d tasks of cancelled job %s run %v after the load stopped", running[id], id, time.Since(loadStopped))
+		case isLongRunning(id) && state == "running" && running[id] != tasksPerLongRunningJob:
+			s.t.Errorf("lost: %d of %d long-running tasks of %s run", running[id], tasksPerLongRunningJob, id)
 		}
 	}
 	for _, start := range s.fleet.Starts() {
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -138,6 +138,29 @@
 	s.instances = append(s.instances, i)
 }
 
+// runningTasks returns the names of the tasks that run on any worker.
+func (s *scenario) runningTasks() []string {
+	var names []string
+	for _, w := range s.fleet.Workers() {
+		names = append(names, w.RunningTasks()...)
+	}
+	return names
+}
+
+// fleetIsBusy reports whether batch tasks use at least half of the CPU that long-running tasks leave. A scheduler has to start
+// what waits only if less than half is in use.
+func (s *scenario) fleetIsBusy() bool {
+	batch, left := 0, len(s.fleet.Workers())*s.fleet.CPU
+	for _, task := range s.runningTasks() {
+		if isLongRunning(jobOf(task)) {
+			left -= cpuOf(task)
+		} else {
+			batch += cpuOf(task)
+		}
+	}
+	return 2*batch >= left
+}
+
 // logDir returns a directory for the logs of a run; those of a failed run are kept.
 func logDir(t *testing.T, seed int64) string {
 	dir := t.TempDir()
